--- /dev/null
+++ b/modules/gg_core/event.h
@@ -0,0 +1,67 @@
+#ifndef GG_CORE_EVENT_H_
+#define GG_CORE_EVENT_H_
+
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace greengage {
+
+/** Severity of a log event, least severe first. */
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+/** Every event the programs log. The number is stable across releases and each
+    one has an entry in docs/EVENTS.md; numbers are never given out again. */
+enum class Event {
+  kStarted = 100,
+  kStopRequested = 101,
+  kDraining = 102,
+  kStopped = 103,
+  kStopRepeated = 104,
+  kListening = 105,
+  kDocumentAccepted = 200,
+  kDocumentRefused = 201,
+  kDocumentRestored = 202,
+  kMemberJoined = 300,
+  kMemberSuspected = 301,
+  kMemberRecovered = 302,
+  kMemberLeaving = 303,
+  kMemberRemoved = 304,
+  kPeerFrameRefused = 310,
+  kPeerUnreachable = 311,
+  kStoreAvailable = 400,
+  kStoreUnavailable = 401,
+  kSlicesClaimed = 500,
+  kSlicesReleased = 501,
+  kLoanGranted = 510,
+  kLoanReceived = 511,
+  kShiftStep = 520,
+  kRegionLost = 530,
+  kRegionRecovered = 531,
+  kRequestRefused = 600,
+  kRequestFailed = 601,
+  kTargetEjected = 610,
+  kTargetRestored = 611,
+};
+
+/** Row of the event table. */
+struct EventEntry {
+  Event event;
+  std::string_view name;
+};
+
+/** Returns the table of all events in ascending order of their number. */
+const std::vector<EventEntry>& EventTable();
+
+/** Returns the name of `event` as it stands in docs/EVENTS.md. */
+std::string_view EventName(Event event);
+
+/** Returns the name of `level`. */
+std::string_view LogLevelName(LogLevel level);
+
+/** Returns the level called `name` ("debug", "info", "warning", "error"). */
+std::optional<LogLevel> ParseLogLevel(std::string_view name);
+
+}  // namespace greengage
+
+#endif  // GG_CORE_EVENT_H_
--- /dev/null
+++ b/modules/gg_core/gg_core.h
@@ -0,0 +1,21 @@
+#ifndef GG_CORE_GG_CORE_H_
+#define GG_CORE_GG_CORE_H_
+
+/** @file
+    gg_core: vocabulary shared by every module.
+
+    Purpose: time points, host identities, errors that carry a step and a peer,
+    name tables for enums, the event
+    catalogue, hashing and deterministic random numbers.
+    Depends on: no other module (Abseil and xxHash only).
+*/
+
+#include "gg_core/enum_names.h"
+#include "gg_core/errors.h"
+#include "gg_core/event.h"
+#include "gg_core/hash.h"
+#include "gg_core/host_id.h"
+#include "gg_core/random.h"
+#include "gg_core/time.h"
+
+#endif  // GG_CORE_GG_CORE_H_
--- /dev/null
+++ b/modules/gg_ctl/http_get.cc
@@ -0,0 +1,60 @@
+#include "gg_ctl/http_get.h"
+
+#include "gg_store/asio.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "gg_core/errors.h"
+
+namespace greengage {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+asio::awaitable<void> Fetch(asio::ip::tcp::endpoint endpoint, std::string path,
+                            Duration timeout,
+                            http::response<http::string_body>* answer,
+                            ErrorCode* error) {
+  beast::tcp_stream stream(co_await asio::this_coro::executor);
+  stream.expires_after(timeout);
+  co_await stream.async_connect(endpoint, Await(error));
+  if (*error) co_return;
+  http::request<http::empty_body> request(http::verb::get, path, 11);
+  request.set(http::field::host, "greengaged");
+  request.keep_alive(false);
+  co_await http::async_write(stream, request, Await(error));
+  if (*error) co_return;
+  beast::flat_buffer buffer;
+  co_await http::async_read(stream, buffer, *answer, Await(error));
+}
+
+}  // namespace
+
+absl::StatusOr<std::string> HttpGet(const std::string& address,
+                                    const std::string& path,
+                                    Duration timeout) {
+  const auto failed = [&](const std::string& what) {
+    return StepError(absl::StatusCode::kUnavailable, Step::kPeerConnect,
+                     address, what);
+  };
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) return failed("not an address; write ip:port");
+  asio::io_context context{1};
+  http::response<http::string_body> answer;
+  ErrorCode error;
+  asio::co_spawn(context, Fetch(*endpoint, path, timeout, &answer, &error),
+                 asio::detached);
+  context.run();
+  if (error) return failed(error.message());
+  if (answer.result() != http::status::ok) {
+    return failed(absl::StrCat("status ", answer.result_int(), ": ",
+                               answer.body()));
+  }
+  return answer.body();
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/modules/gg_daemon/control_actor.cc
@@ -0,0 +1,155 @@
+#include "gg_daemon/control_actor.h"
+
+#include <caf/all.hpp>
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(greengage::ControlMessage)
+
+namespace greengage {
+namespace {
+
+using TickAtom = caf::atom_constant<caf::atom("tick")>;
+using StopAtom = caf::atom_constant<caf::atom("stop")>;
+using nlohmann::json;
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+/** Ticks between two renewals of the snapshot's texts. */
+constexpr int kTicksPerStatus = 5;
+
+json MemberJson(const MemberRecord& member) {
+  return {{"address", member.id.address},
+          {"incarnation", member.id.incarnation},
+          {"traffic", member.traffic_address},
+          {"zone", member.zone},
+          {"region", member.region},
+          {"state", kMemberStateNames.Name(member.state)},
+          {"version", member.version}};
+}
+
+json StatusOf(const Controller& controller) {
+  json members = json::array();
+  for (const MemberRecord& member : controller.membership().Members()) {
+    members.push_back(MemberJson(member));
+  }
+  const MemberRecord& self = controller.membership().self();
+  json waits = json::array();
+  if (!controller.store_available()) {
+    waits.push_back(
+        "the store does not answer: no edits, no new steps of a shift, no "
+        "change of capacity between hosts, no orders with a caller's own key");
+  }
+  if (controller.replica().document() == nullptr) {
+    waits.push_back("no document yet");
+  }
+  return {{"self", MemberJson(self)},
+          {"ready", controller.IsReady()},
+          {"store_available", controller.store_available()},
+          {"document_revision", controller.replica().revision()},
+          {"document_problem",
+           std::string(controller.replica().last_error().message())},
+          {"plan_revision", controller.plan().revision()},
+          {"slices_revision", controller.slices().revision()},
+          {"slices_owned", controller.slices().owned()},
+          {"slices_total", controller.slices().table().owners.size()},
+          {"members", members},
+          {"waits", waits}};
+}
+
+/** Applies each kind of message to the controller. */
+struct MessageVisitor {
+  Controller* controller;
+  TimePoint now;
+
+  void operator()(const PeerFrame& frame) const {
+    controller->OnPeerMessage(frame.from, frame.message, now);
+  }
+  void operator()(const StoreValuesRead& read) const {
+    for (const StoreValue& value : read.values) {
+      controller->OnStoreValue(value, now);
+    }
+  }
+  void operator()(const StoreAvailability& store) const {
+    controller->OnStoreAvailable(store.available, now);
+  }
+  void operator()(const DrainRequest& /*request*/) const {
+    controller->StartDrain(now);
+  }
+  void operator()(const ReleaseRequest& /*request*/) const {
+    controller->StartRelease();
+  }
+};
+
+caf::actor_system_config& SingleThreadConfig(caf::actor_system_config* config) {
+  config->set("scheduler.max-threads", 1);
+  return *config;
+}
+
+}  // namespace
+
+struct ControlActor::State {
+  explicit State(Options control_options)
+      : options(std::move(control_options)),
+        controller(options.controller, options.hooks, options.steering, Now()),
+        system(SingleThreadConfig(&config)) {}
+
+  caf::behavior Behave(caf::event_based_actor* self) {
+    self->send(self, TickAtom::value);
+    return {[this, self](TickAtom) {
+              controller.Tick(Now());
+              Publish();
+              self->delayed_send(self, options.tick, TickAtom::value);
+            },
+            [this](const ControlMessage& message) {
+              std::visit(MessageVisitor{&controller, Now()}, message);
+            },
+            [self](StopAtom) { self->quit(); }};
+  }
+
+  void Publish() {
+    const bool renews_texts = tick_count++ % kTicksPerStatus == 0;
+    const std::lock_guard lock(mutex);
+    snapshot.is_ready = controller.IsReady();
+    snapshot.is_store_available = controller.store_available();
+    snapshot.has_released_all = controller.HasReleasedAll();
+    if (!renews_texts) return;
+    snapshot.status_json = StatusOf(controller).dump();
+    if (controller.replica().revision() == document_revision) return;
+    document_revision = controller.replica().revision();
+    snapshot.document_text = controller.replica().Text();
+  }
+
+  Options options;
+  Controller controller;  // on the control thread only
+  int tick_count = 0;
+  uint64_t document_revision = 0;
+  mutable std::mutex mutex;
+  ControlSnapshot snapshot;
+  caf::actor_system_config config;
+  caf::actor_system system;
+  caf::actor actor;
+};
+
+ControlActor::ControlActor(Options options)
+    : state_(std::make_unique<State>(std::move(options))) {
+  State* state = state_.get();
+  state->actor = state->system.spawn(
+      [state](caf::event_based_actor* self) { return state->Behave(self); });
+}
+
+ControlActor::~ControlActor() {
+  caf::anon_send(state_->actor, StopAtom::value);
+  state_->system.await_all_actors_done();
+}
+
+void ControlActor::Send(ControlMessage message) {
+  caf::anon_send(state_->actor, std::move(message));
+}
+
+ControlSnapshot ControlActor::Snapshot() const {
+  const std::lock_guard lock(state_->mutex);
+  return state_->snapshot;
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/modules/gg_daemon/daemon.cc
@@ -0,0 +1,336 @@
+#include "gg_daemon/daemon.h"
+
+#include <atomic>
+#include <random>
+#include <set>
+#include <thread>
+
+#include "gg_store/asio.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "gg_core/hash.h"
+#include "gg_daemon/control_actor.h"
+#include "gg_daemon/peer_mesh.h"
+#include "gg_http/admin_handler.h"
+#include "gg_http/request_dispatcher.h"
+#include "gg_http/traffic_server.h"
+#include "gg_insight/event_log.h"
+#include "gg_insight/metrics.h"
+#include "gg_store/store_client.h"
+#include "gg_store/store_session.h"
+
+namespace greengage {
+namespace {
+
+constexpr Duration kStopPoll = std::chrono::milliseconds(50);
+constexpr Duration kDrainReport = std::chrono::seconds(5);
+
+/** Added to the longest time to live, for look-ups on their way. */
+constexpr Duration kLookupMargin = std::chrono::seconds(1);
+
+/** Longest wait for the store to take back the slices at the end. */
+constexpr Duration kReleaseLimit = std::chrono::seconds(5);
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+uint64_t WallMicroseconds() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+}
+
+uint64_t RandomSeed() {
+  std::random_device device;
+  return (static_cast<uint64_t>(device()) << 32U) | device();
+}
+
+/** Keys of the store that daemons share, under one prefix. */
+std::string SharedPrefix(const std::string& deployment) {
+  return absl::StrCat("/greengage/", deployment, "/shared/");
+}
+
+std::string SharedPath(const std::string& deployment, SharedKey key) {
+  return SharedPrefix(deployment) + std::string(kSharedKeyNames.Name(key));
+}
+
+Steering::Options SteeringOptions(const Settings& settings,
+                                  uint64_t incarnation) {
+  return {.self = {settings.peer, incarnation},
+          .traffic_address = settings.listen,
+          .region = settings.region,
+          .zone = settings.zone,
+          .seed = RandomSeed(),
+          .key_secret = RandomSeed(),
+          .started_at = Now()};
+}
+
+}  // namespace
+
+struct Daemon::Parts {
+  explicit Parts(const Settings& daemon_settings)
+      : settings(daemon_settings),
+        incarnation(WallMicroseconds()),
+        started_at(Now()),
+        steering(SteeringOptions(settings, incarnation)),
+        mesh(&io, {.deployment = settings.deployment,
+                   .self = {settings.peer, incarnation},
+                   .metrics = &metrics},
+             [this](PeerFrame frame) { control->Send(std::move(frame)); }),
+        store(&io, {.addresses = settings.store}),
+        session(&io, &store,
+                {.prefix = SharedPrefix(settings.deployment),
+                 .seed = RandomSeed()},
+                SessionHooks()) {
+    control = std::make_unique<ControlActor>(MakeControlOptions());
+    traffic = MakeTrafficServer();
+    admin = MakeAdminServer();
+  }
+
+  ~Parts() {
+    traffic->Stop();
+    admin->Stop();
+    io.stop();
+    if (io_thread.joinable()) io_thread.join();
+    control.reset();
+  }
+
+  ControlActor::Options MakeControlOptions() {
+    ControlActor::Options options;
+    options.steering = &steering;
+    options.controller.self = {.id = {settings.peer, incarnation},
+                               .traffic_address = settings.listen,
+                               .zone = settings.zone,
+                               .region = settings.region};
+    options.controller.seeds = settings.seeds;
+    options.controller.seed = RandomSeed();
+    options.controller.host_gone_after =
+        std::chrono::seconds(settings.host_gone_seconds);
+    options.hooks.send = [this](const std::string& address,
+                                const PeerMessage& message) {
+      mesh.Send(address, message);
+    };
+    options.hooks.write_store = [this](const StoreWrite& write) {
+      asio::co_spawn(io, Write(write), asio::detached);
+    };
+    options.hooks.set_watching = [this](bool watching) {
+      session.SetWatching(watching);
+    };
+    options.hooks.log = [](LogLevel level, Event event,
+                           const std::string& text) {
+      LogEvent(level, event, text);
+    };
+    return options;
+  }
+
+  StoreSessionHooks SessionHooks() {
+    return {.on_entry = [this](const StoreEntry& entry) { OnEntry(entry); },
+            .on_complete_read = [this] { OnCompleteRead(); },
+            .on_available =
+                [this](bool available, const absl::Status& reason) {
+                  if (!reason.ok()) LogError(Event::kStoreUnavailable, reason);
+                  control->Send(StoreAvailability{available});
+                }};
+  }
+
+  void OnEntry(const StoreEntry& entry) {
+    const std::string prefix = SharedPrefix(settings.deployment);
+    const auto key = kSharedKeyNames.Parse(
+        std::string_view(entry.key).substr(prefix.size()));
+    if (!key) return;
+    seen_keys.insert(*key);
+    control->Send(
+        StoreValuesRead{{{*key, entry.mod_revision, entry.value}}});
+  }
+
+  /** Tells the control thread which keys do not exist. */
+  void OnCompleteRead() {
+    StoreValuesRead absent;
+    for (const SharedKey key : {SharedKey::kDocument, SharedKey::kPlan,
+                                SharedKey::kSlices, SharedKey::kHosts}) {
+      if (seen_keys.count(key) == 0) absent.values.push_back({key, 0, ""});
+    }
+    control->Send(std::move(absent));
+  }
+
+  asio::awaitable<void> Write(StoreWrite write) {
+    StoreSwap swap;
+    swap.key = SharedPath(settings.deployment, write.key);
+    swap.expected_revision = write.expected_revision;
+    swap.puts.push_back({.key = swap.key, .value = write.value});
+    const auto result = co_await store.Swap(swap);
+    metrics.Count("greengage_store_writes_total",
+                  absl::StrCat("ok=\"", result.ok() ? 1 : 0, "\""));
+    if (result.ok() && result->succeeded) {
+      control->Send(
+          StoreValuesRead{{{write.key, result->revision, write.value}}});
+    } else if (result.ok() && result->found) {
+      control->Send(StoreValuesRead{{{write.key, result->found->mod_revision,
+                                      result->found->value}}});
+    } else if (!result.ok()) {
+      // It may have taken effect: read the key again before anything else.
+      const auto read = co_await store.Get(swap.key);
+      if (!read.ok() || read->entries.empty()) co_return;
+      control->Send(
+          StoreValuesRead{{{write.key, read->entries[0].mod_revision,
+                            read->entries[0].value}}});
+    }
+  }
+
+  std::unique_ptr<TrafficServer> MakeTrafficServer() {
+    RequestDispatcher::Options options{
+        .steering = &steering,
+        .metrics = &metrics,
+        .store_addresses = settings.store,
+        .order_prefix =
+            absl::StrCat("/greengage/", settings.deployment, "/orders/"),
+        .self = {settings.peer, incarnation},
+        .traffic_address = settings.listen,
+        .started_at = started_at,
+        .is_draining = [this] { return is_draining.load(); }};
+    TrafficServer::Options server;
+    server.address = settings.listen;
+    server.threads = settings.threads;
+    server.make_handler = [options](asio::io_context* context) {
+      auto dispatcher = std::make_shared<RequestDispatcher>(context, options);
+      return [dispatcher](CallerConnection* caller, RequestParser* request) {
+        return dispatcher->Handle(caller, request);
+      };
+    };
+    return std::make_unique<TrafficServer>(std::move(server));
+  }
+
+  std::unique_ptr<TrafficServer> MakeAdminServer() {
+    AdminHandler::Options options{
+        .steering = &steering,
+        .metrics = &metrics,
+        .control_status = [this] { return control->Snapshot().status_json; },
+        .document_text = [this] { return control->Snapshot().document_text; },
+        .health = [this] { return Health(); }};
+    TrafficServer::Options server;
+    server.address = settings.admin;
+    server.make_handler = [options](asio::io_context* /*context*/) {
+      auto handler = std::make_shared<AdminHandler>(options);
+      return [handler](CallerConnection* caller, RequestParser* request) {
+        return handler->Handle(caller, *request);
+      };
+    };
+    return std::make_unique<TrafficServer>(std::move(server));
+  }
+
+  std::string Health() const {
+    if (is_draining) return "draining";
+    if (!control->Snapshot().is_ready) return "no document or positions yet";
+    return "";
+  }
+
+  absl::Status Start() {
+    absl::Status status = mesh.Start();
+    if (status.ok()) status = traffic->Start();
+    if (status.ok()) status = admin->Start();
+    if (!status.ok()) return status;
+    session.Start();
+    io_thread = std::thread([this] { io.run(); });
+    return absl::OkStatus();
+  }
+
+  Duration LookupLifetime() const {
+    const DocumentPtr document = steering.document();
+    Duration longest{};
+    if (document == nullptr) return longest;
+    for (const ServiceSpec& service : document->services) {
+      longest = std::max(longest, service.lookup_ttl);
+    }
+    return longest + kLookupMargin;
+  }
+
+  void WaitForRequests() {
+    TimePoint next_report = Now();
+    while (traffic->active_requests() > 0) {
+      if (Now() >= next_report) {
+        LogEvent(LogLevel::kInfo, Event::kDraining,
+                 absl::StrCat("requests=", traffic->active_requests()));
+        next_report = Now() + kDrainReport;
+      }
+      std::this_thread::sleep_for(kStopPoll);
+    }
+  }
+
+  void Drain() {
+    is_draining = true;
+    control->Send(DrainRequest{});
+    const Duration lifetime = LookupLifetime();
+    LogEvent(LogLevel::kInfo, Event::kDraining,
+             absl::StrCat("cached look-ups end in ", ToSeconds(lifetime), " s"));
+    std::this_thread::sleep_for(lifetime);
+    traffic->StopAccepting();
+    traffic->CloseIdle();
+    WaitForRequests();
+    control->Send(ReleaseRequest{});
+    const TimePoint give_up = Now() + kReleaseLimit;
+    while (!control->Snapshot().has_released_all && Now() < give_up) {
+      std::this_thread::sleep_for(kStopPoll);
+    }
+  }
+
+  const Settings settings;
+  const uint64_t incarnation;
+  const TimePoint started_at;
+  std::atomic<bool> is_draining = false;
+  Metrics metrics;
+  Steering steering;
+  asio::io_context io{1};
+  PeerMesh mesh;
+  StoreClient store;
+  StoreSession session;
+  std::set<SharedKey> seen_keys;  // on the io thread only
+  std::unique_ptr<ControlActor> control;
+  std::unique_ptr<TrafficServer> traffic;
+  std::unique_ptr<TrafficServer> admin;
+  std::thread io_thread;
+};
+
+Daemon::Daemon(Settings settings) : settings_(std::move(settings)) {}
+Daemon::~Daemon() = default;
+
+absl::Status Daemon::Run() {
+  // Signals are taken over before the first thread starts, so that none ends the
+  // process half built.
+  asio::io_context signal_context{1};
+  asio::signal_set signals(signal_context, SIGTERM, SIGINT);
+  std::atomic<int> received = 0;
+  std::function<void()> wait = [&] {
+    signals.async_wait([&](const ErrorCode& error, int signal) {
+      if (error) return;
+      const bool is_first = received++ == 0;
+      LogEvent(is_first ? LogLevel::kInfo : LogLevel::kWarning,
+               is_first ? Event::kStopRequested : Event::kStopRepeated,
+               absl::StrCat("signal=", signal,
+                            is_first ? "" : ": still draining, see status"));
+      if (is_first) signal_context.stop();
+      wait();
+    });
+  };
+  wait();
+  parts_ = std::make_unique<Parts>(settings_);
+  const absl::Status started = parts_->Start();
+  if (!started.ok()) return started;
+  LogEvent(LogLevel::kInfo, Event::kStarted,
+           absl::StrCat("version=" GREENGAGE_VERSION " deployment=",
+                        settings_.deployment, " zone=", settings_.zone,
+                        " incarnation=", parts_->incarnation));
+  LogEvent(LogLevel::kInfo, Event::kListening,
+           absl::StrCat("callers=", settings_.listen, " peers=",
+                        settings_.peer, " operators=", settings_.admin));
+  signal_context.run();
+  signal_context.restart();
+  std::thread signal_thread([&] { signal_context.run(); });
+  parts_->Drain();
+  parts_.reset();
+  signal_context.stop();
+  signal_thread.join();
+  LogEvent(LogLevel::kInfo, Event::kStopped, "");
+  return absl::OkStatus();
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/modules/gg_daemon/peer_mesh.cc
@@ -0,0 +1,159 @@
+#include "gg_daemon/peer_mesh.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/asio/write.hpp>
+#include <deque>
+
+#include "absl/strings/str_cat.h"
+#include "gg_core/errors.h"
+#include "gg_insight/event_log.h"
+#include "gg_insight/metrics.h"
+
+namespace greengage {
+
+/** Outgoing side towards one peer. */
+struct PeerMesh::Link {
+  std::string address;
+  std::deque<std::string> queue;
+  size_t queued_bytes = 0;
+  bool is_running = false;
+  std::optional<asio::steady_timer> wake;  // cancelled when a message is queued
+};
+
+PeerMesh::PeerMesh(asio::io_context* context, Options options,
+                   FrameHook on_frame)
+    : context_(context),
+      options_(std::move(options)),
+      on_frame_(std::move(on_frame)) {}
+
+PeerMesh::~PeerMesh() = default;
+
+absl::Status PeerMesh::Start() {
+  const auto endpoint = ParseEndpoint(options_.self.address);
+  ErrorCode error;
+  acceptor_ = std::make_unique<asio::ip::tcp::acceptor>(*context_);
+  acceptor_->open(endpoint->protocol(), error);
+  acceptor_->set_option(asio::socket_base::reuse_address(true), error);
+  acceptor_->bind(*endpoint, error);
+  if (!error) acceptor_->listen(asio::socket_base::max_listen_connections, error);
+  if (error) {
+    return StepError(absl::StatusCode::kUnavailable, Step::kSettings,
+                     options_.self.address,
+                     absl::StrCat("cannot listen: ", error.message()));
+  }
+  asio::co_spawn(*context_, Accept(), asio::detached);
+  return absl::OkStatus();
+}
+
+void PeerMesh::Send(const std::string& address, const PeerMessage& message) {
+  std::string bytes =
+      EncodeFrame({options_.deployment, options_.self, message});
+  asio::post(*context_, [this, address, bytes = std::move(bytes)]() mutable {
+    Enqueue(address, std::move(bytes));
+  });
+}
+
+asio::awaitable<void> PeerMesh::Accept() {
+  for (;;) {
+    asio::ip::tcp::socket socket(*context_);
+    ErrorCode error;
+    co_await acceptor_->async_accept(socket, Await(&error));
+    if (error) {
+      co_await SleepFor(options_.retry_pause);
+    } else if (incoming_ < options_.max_incoming) {
+      asio::co_spawn(*context_, Receive(std::move(socket)), asio::detached);
+    }
+  }
+}
+
+asio::awaitable<void> PeerMesh::Receive(asio::ip::tcp::socket socket) {
+  ++incoming_;
+  ErrorCode error;
+  const auto remote = socket.remote_endpoint(error);
+  const std::string peer =
+      error ? "unknown"
+            : absl::StrCat(remote.address().to_string(), ":", remote.port());
+  const absl::Status status = co_await ReceiveFrames(&socket, peer);
+  if (!status.ok()) {
+    options_.metrics->Count("greengage_peer_frames_refused_total", "");
+    LogError(Event::kPeerFrameRefused, status);
+  }
+  --incoming_;
+}
+
+asio::awaitable<absl::Status> PeerMesh::ReceiveFrames(
+    asio::ip::tcp::socket* socket, std::string peer) {
+  ErrorCode error;
+  std::string prefix(kFramePrefixBytes, '\0');
+  std::string bytes;
+  for (;;) {
+    co_await asio::async_read(*socket, asio::buffer(prefix), Await(&error));
+    if (error) co_return absl::OkStatus();  // the peer closed
+    const absl::StatusOr<size_t> size = DecodeFramePrefix(prefix, peer);
+    if (!size.ok()) co_return size.status();
+    bytes.resize(*size);
+    co_await asio::async_read(*socket, asio::buffer(bytes), Await(&error));
+    if (error) co_return absl::OkStatus();
+    options_.metrics->Count("greengage_peer_bytes_received_total", "",
+                            kFramePrefixBytes + bytes.size());
+    absl::StatusOr<PeerFrame> frame =
+        DecodeFrame(bytes, options_.deployment, peer);
+    if (!frame.ok()) co_return frame.status();
+    on_frame_(*std::move(frame));
+  }
+}
+
+asio::awaitable<void> PeerMesh::Deliver(std::shared_ptr<Link> link) {
+  const auto endpoint = ParseEndpoint(link->address);
+  boost::beast::tcp_stream stream(*context_);
+  ErrorCode error;
+  if (endpoint) {
+    stream.expires_after(options_.connect_timeout);
+    co_await stream.async_connect(*endpoint, Await(&error));
+  }
+  if (error || !endpoint) {
+    LogEvent(LogLevel::kDebug, Event::kPeerUnreachable,
+             absl::StrCat("peer=", link->address, " ", error.message()));
+    link->queue.clear();
+    link->queued_bytes = 0;
+    co_await SleepFor(options_.retry_pause);
+    link->is_running = false;
+    co_return;
+  }
+  stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+  while (!error) {
+    if (link->queue.empty()) {
+      link->wake.emplace(*context_, options_.idle_limit);
+      ErrorCode woken;
+      co_await link->wake->async_wait(Await(&woken));
+      link->wake.reset();
+      if (link->queue.empty()) break;
+    }
+    const std::string bytes = std::move(link->queue.front());
+    link->queue.pop_front();
+    link->queued_bytes -= bytes.size();
+    options_.metrics->Count("greengage_peer_bytes_sent_total", "",
+                            bytes.size());
+    stream.expires_after(options_.write_timeout);
+    co_await asio::async_write(stream, asio::buffer(bytes), Await(&error));
+  }
+  link->is_running = false;
+}
+
+void PeerMesh::Enqueue(const std::string& address, std::string bytes) {
+  std::shared_ptr<Link>& link = links_[address];
+  if (link == nullptr) {
+    link = std::make_shared<Link>();
+    link->address = address;
+  }
+  if (link->queued_bytes + bytes.size() > options_.max_queued_bytes) return;
+  link->queued_bytes += bytes.size();
+  link->queue.push_back(std::move(bytes));
+  if (link->wake) link->wake->cancel();
+  if (link->is_running) return;
+  link->is_running = true;
+  asio::co_spawn(*context_, Deliver(link), asio::detached);
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/modules/gg_daemon/peer_mesh.h
@@ -0,0 +1,76 @@
+#ifndef GG_DAEMON_PEER_MESH_H_
+#define GG_DAEMON_PEER_MESH_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "absl/status/status.h"
+#include "gg_core/time.h"
+#include "gg_store/asio.h"
+#include "gg_wire/frame_codec.h"
+
+namespace greengage {
+
+class Metrics;
+
+/** Carries frames between daemons over TCP.
+
+    Each daemon sends on connections that it opened and receives on those that it
+    accepted. A message that cannot be delivered soon is dropped: the control
+    logic repeats what matters. Broken frames, other versions and other
+    deployments end the connection they came on.
+
+    Used on its io_context's thread only, but for Send(). */
+class PeerMesh {
+ public:
+  struct Options {
+    std::string deployment;
+    HostId self;
+    Metrics* metrics = nullptr;  // not owned
+    Duration connect_timeout = std::chrono::seconds(1);
+    Duration write_timeout = std::chrono::seconds(5);
+    Duration retry_pause = std::chrono::milliseconds(300);
+    Duration idle_limit = std::chrono::minutes(2);
+    size_t max_queued_bytes = 4 * 1024 * 1024;
+    size_t max_incoming = 4096;
+  };
+
+  /** Called for each frame that arrives. */
+  using FrameHook = std::function<void(PeerFrame frame)>;
+
+  PeerMesh(asio::io_context* context, Options options, FrameHook on_frame);
+  ~PeerMesh();
+  PeerMesh(const PeerMesh&) = delete;
+  PeerMesh& operator=(const PeerMesh&) = delete;
+
+  //==============================================================================
+  /** Binds the address of `options.self`; an error names it. */
+  absl::Status Start();
+
+  /** Queues a message for the daemon at `address`. Any thread may call it. */
+  void Send(const std::string& address, const PeerMessage& message);
+
+ private:
+  struct Link;
+
+  asio::awaitable<void> Accept();
+  asio::awaitable<void> Receive(asio::ip::tcp::socket socket);
+  asio::awaitable<absl::Status> ReceiveFrames(asio::ip::tcp::socket* socket,
+                                              std::string peer);
+  asio::awaitable<void> Deliver(std::shared_ptr<Link> link);
+  void Enqueue(const std::string& address, std::string bytes);
+
+  asio::io_context* context_;  // not owned
+  Options options_;
+  FrameHook on_frame_;
+  std::unique_ptr<asio::ip::tcp::acceptor> acceptor_;
+  std::map<std::string, std::shared_ptr<Link>> links_;
+  size_t incoming_ = 0;
+};
+
+}  // namespace greengage
+
+#endif  // GG_DAEMON_PEER_MESH_H_
--- /dev/null
+++ b/modules/gg_document/section_text.cc
@@ -0,0 +1,161 @@
+#include "gg_document/section_text.h"
+
+#include <algorithm>
+#include <cctype>
+
+#include "absl/strings/str_cat.h"
+#include "gg_core/errors.h"
+
+namespace greengage {
+namespace {
+
+std::vector<std::string_view> SplitLines(std::string_view text) {
+  std::vector<std::string_view> lines;
+  while (!text.empty()) {
+    const size_t end = text.find('\n');
+    const size_t length = end == std::string_view::npos ? text.size() : end + 1;
+    lines.push_back(text.substr(0, length));
+    text.remove_prefix(length);
+  }
+  return lines;
+}
+
+/** Returns the top-level key a line starts with, or "". */
+std::string_view TopLevelKey(std::string_view line) {
+  if (line.empty() || std::isalnum(static_cast<unsigned char>(line[0])) == 0) {
+    return "";
+  }
+  return line.substr(0, std::min(line.find(':'), line.size()));
+}
+
+bool IsCommentOrBlank(std::string_view line) {
+  return line.empty() || line[0] == '#' || line[0] == '\n' || line[0] == '\r';
+}
+
+std::string WithFinalNewline(std::string_view text) {
+  std::string result(text);
+  if (!result.empty() && result.back() != '\n') result += '\n';
+  return result;
+}
+
+}  // namespace
+
+std::vector<SectionText> SplitSections(std::string_view document) {
+  std::vector<SectionText> sections;
+  std::string pending;  // comments that may belong to the next key
+  for (const std::string_view line : SplitLines(document)) {
+    const std::string_view key = TopLevelKey(line);
+    if (!key.empty()) {
+      sections.push_back({std::string(key), pending + std::string(line)});
+      pending.clear();
+    } else if (IsCommentOrBlank(line)) {
+      pending += line;
+    } else if (!sections.empty()) {
+      sections.back().text += pending + std::string(line);
+      pending.clear();
+    } else {
+      pending += line;
+    }
+  }
+  if (!sections.empty()) {
+    sections.back().text += pending;
+  } else if (!pending.empty()) {
+    sections.push_back({"", pending});
+  }
+  return sections;
+}
+
+std::string JoinSections(const std::vector<SectionText>& sections) {
+  std::string document;
+  for (const SectionText& section : sections) document += section.text;
+  return document;
+}
+
+const SectionText* FindSection(const std::vector<SectionText>& sections,
+                               std::string_view name) {
+  const auto found =
+      std::find_if(sections.begin(), sections.end(),
+                   [&](const SectionText& s) { return s.name == name; });
+  return found == sections.end() ? nullptr : &*found;
+}
+
+absl::StatusOr<std::string> ReplaceSection(std::string_view document,
+                                           std::string_view name,
+                                           std::string_view text) {
+  const std::string whole = WithFinalNewline(text);
+  const std::vector<SectionText> parts = SplitSections(whole);
+  if (parts.size() != 1 || parts[0].name != name) {
+    return StepError(
+        absl::StatusCode::kInvalidArgument, Step::kDocumentCheck, name,
+        absl::StrCat("the text must hold the one top-level key '",
+                     std::string(name), "'; put other sections in edits of "
+                     "their own"));
+  }
+  std::vector<SectionText> sections =
+      SplitSections(WithFinalNewline(document));
+  const auto found =
+      std::find_if(sections.begin(), sections.end(),
+                   [&](const SectionText& s) { return s.name == name; });
+  if (found == sections.end()) {
+    sections.push_back(parts[0]);
+  } else {
+    found->text = parts[0].text;
+  }
+  return JoinSections(sections);
+}
+
+std::vector<std::string> ChangedSections(
+    const std::vector<SectionText>& before,
+    const std::vector<SectionText>& after) {
+  std::vector<std::string> changed;
+  for (const SectionText& section : after) {
+    const SectionText* old = FindSection(before, section.name);
+    if (old == nullptr || old->text != section.text) {
+      changed.push_back(section.name);
+    }
+  }
+  for (const SectionText& section : before) {
+    if (FindSection(after, section.name) == nullptr) {
+      changed.push_back(section.name);
+    }
+  }
+  return changed;
+}
+
+std::string LineDiff(std::string_view before, std::string_view after) {
+  const std::vector<std::string_view> a = SplitLines(before);
+  const std::vector<std::string_view> b = SplitLines(after);
+  // Longest common subsequence by dynamic programming over line pairs.
+  const size_t columns = b.size() + 1;
+  std::vector<uint32_t> length((a.size() + 1) * columns, 0);
+  for (size_t i = a.size(); i-- > 0;) {
+    for (size_t j = b.size(); j-- > 0;) {
+      length[i * columns + j] =
+          a[i] == b[j] ? length[(i + 1) * columns + j + 1] + 1
+                       : std::max(length[(i + 1) * columns + j],
+                                  length[i * columns + j + 1]);
+    }
+  }
+  std::string result;
+  const auto add = [&](char sign, std::string_view line) {
+    absl::StrAppend(&result, std::string(1, sign), WithFinalNewline(line));
+  };
+  size_t i = 0;
+  size_t j = 0;
+  while (i < a.size() || j < b.size()) {
+    if (i < a.size() && j < b.size() && a[i] == b[j]) {
+      add(' ', a[i]);
+      ++i;
+      ++j;
+    } else if (j == b.size() ||
+               (i < a.size() && length[(i + 1) * columns + j] >=
+                                    length[i * columns + j + 1])) {
+      add('-', a[i++]);
+    } else {
+      add('+', b[j++]);
+    }
+  }
+  return result;
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/modules/gg_document/yaml_reader.cc
@@ -0,0 +1,207 @@
+#include "gg_document/yaml_reader.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+#include <set>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+
+namespace greengage {
+namespace {
+
+std::string JoinNames(const std::vector<std::string_view>& names) {
+  std::string joined;
+  for (const std::string_view name : names) {
+    if (!joined.empty()) joined += ", ";
+    joined += name;
+  }
+  return joined;
+}
+
+}  // namespace
+
+void ProblemList::Add(const YAML::Mark& mark, std::string_view path,
+                      std::string_view what, std::string_view remedy) {
+  const std::string place =
+      mark.is_null() ? "" : absl::StrCat("line ", mark.line + 1, ", column ",
+                                         mark.column + 1, ", ");
+  problems_.push_back(absl::StrCat(place, "at ", std::string(path), ": ",
+                                   std::string(what), "; ",
+                                   std::string(remedy)));
+}
+
+std::string ProblemList::Text() const { return absl::StrJoin(problems_, "\n"); }
+
+YamlReader::YamlReader(YAML::Node node, std::string path, ProblemList* problems)
+    : node_(std::move(node)), path_(std::move(path)), problems_(problems) {}
+
+bool YamlReader::present() const { return node_.IsDefined() && !node_.IsNull(); }
+
+void YamlReader::Problem(std::string_view what, std::string_view remedy) const {
+  problems_->Add(node_.IsDefined() ? node_.Mark() : YAML::Mark::null_mark(),
+                 path_, what, remedy);
+}
+
+bool YamlReader::ExpectKeys(
+    const std::vector<std::string_view>& allowed) const {
+  if (!present() || !node_.IsMap()) {
+    Problem("expected a mapping", absl::StrCat("write the keys ",
+                                               JoinNames(allowed)));
+    return false;
+  }
+  std::set<std::string> seen;
+  for (const auto& item : node_) {
+    const auto key = item.first.as<std::string>("");
+    if (!seen.insert(key).second) {
+      problems_->Add(item.first.Mark(), absl::StrCat(path_, ".", key),
+                     "key stands twice", "keep one of them");
+    }
+    if (std::find(allowed.begin(), allowed.end(), key) != allowed.end()) {
+      continue;
+    }
+    problems_->Add(
+        item.first.Mark(), absl::StrCat(path_, ".", key), "unknown key",
+        absl::StrCat("remove it or use one of ", JoinNames(allowed)));
+  }
+  return true;
+}
+
+YamlReader YamlReader::Child(const std::string& key) const {
+  const std::string child_path =
+      path_.empty() ? key : absl::StrCat(path_, ".", key);
+  const bool has_child = node_.IsDefined() && node_.IsMap() && node_[key];
+  if (!has_child) {
+    return {YAML::Node(YAML::NodeType::Undefined), child_path, problems_};
+  }
+  return {node_[key], child_path, problems_};
+}
+
+std::vector<YamlReader::Entry> YamlReader::Entries() const {
+  std::vector<Entry> entries;
+  if (!present()) return entries;
+  if (!node_.IsMap()) {
+    Problem("expected a mapping", "write one 'name: value' a line");
+    return entries;
+  }
+  for (const auto& item : node_) {
+    const auto key = item.first.as<std::string>("");
+    const std::string child_path =
+        path_.empty() ? key : absl::StrCat(path_, ".", key);
+    entries.push_back({key, YamlReader(item.second, child_path, problems_)});
+  }
+  return entries;
+}
+
+std::vector<YamlReader> YamlReader::Items() const {
+  std::vector<YamlReader> items;
+  if (!present()) return items;
+  if (!node_.IsSequence()) {
+    Problem("expected a list", "start each item with '- '");
+    return items;
+  }
+  for (size_t i = 0; i < node_.size(); ++i) {
+    items.emplace_back(node_[i], absl::StrCat(path_, "[", i, "]"), problems_);
+  }
+  return items;
+}
+
+std::string YamlReader::RequiredString(std::string_view remedy) const {
+  if (!present() || !node_.IsScalar() || node_.Scalar().empty()) {
+    Problem("missing text", remedy);
+    return "";
+  }
+  return node_.Scalar();
+}
+
+double YamlReader::RequiredNumber(NumberRange range) const {
+  if (!present()) {
+    Problem("missing number", absl::StrCat("write a number from ", range.low,
+                                           " to ", range.high));
+    return range.low;
+  }
+  return Number(range, range.low);
+}
+
+double YamlReader::Number(NumberRange range, double fallback) const {
+  if (!present()) return fallback;
+  double value = 0;
+  const bool is_number = node_.IsScalar() && YAML::convert<double>::decode(node_, value);
+  if (!is_number || !std::isfinite(value) || value < range.low ||
+      value > range.high) {
+    Problem("not a number in range", absl::StrCat("write a number from ",
+                                                  range.low, " to ",
+                                                  range.high));
+    return fallback;
+  }
+  return value;
+}
+
+int64_t YamlReader::RequiredCount(NumberRange range) const {
+  const double value = RequiredNumber(range);
+  if (value != std::floor(value)) Problem("not a whole number", "drop the part after the point");
+  return static_cast<int64_t>(value);
+}
+
+bool YamlReader::Flag(bool fallback) const {
+  if (!present()) return fallback;
+  bool value = fallback;
+  if (!node_.IsScalar() || !YAML::convert<bool>::decode(node_, value)) {
+    Problem("not a truth value", "write true or false");
+  }
+  return value;
+}
+
+double YamlReader::UnitNumber(
+    const std::vector<std::pair<std::string_view, double>>& units,
+    std::string_view remedy, double fallback) const {
+  if (!present()) return fallback;
+  const std::string text = node_.IsScalar() ? node_.Scalar() : "";
+  char* end = nullptr;
+  const double value = std::strtod(text.c_str(), &end);
+  const std::string_view unit = end;
+  for (const auto& [name, factor] : units) {
+    const bool has_digits = end != text.c_str();
+    if (has_digits && unit == name && std::isfinite(value) && value >= 0) {
+      return value * factor;
+    }
+  }
+  Problem(absl::StrCat("cannot read '", text, "'"), remedy);
+  return fallback;
+}
+
+Duration YamlReader::Time(Duration fallback) const {
+  static constexpr double kDay = 86400;
+  const double seconds = UnitNumber(
+      {{"ms", 0.001}, {"s", 1}, {"m", 60}, {"h", 3600}},
+      "write a time such as 250ms, 5s or 10m", ToSeconds(fallback));
+  if (seconds > kDay) {
+    Problem("time over a day", "write at most 24h");
+    return fallback;
+  }
+  return FromSeconds(seconds);
+}
+
+int64_t YamlReader::Bytes(int64_t fallback) const {
+  static constexpr double kHighest = 1e15;
+  const double bytes =
+      UnitNumber({{"", 1}, {"KB", 1e3}, {"MB", 1e6}, {"GB", 1e9}},
+                 "write a size such as 64KB, 10MB or 1GB",
+                 static_cast<double>(fallback));
+  if (bytes > kHighest) {
+    Problem("size out of range", "write at most 1000000GB");
+    return fallback;
+  }
+  return static_cast<int64_t>(bytes);
+}
+
+std::vector<std::string> YamlReader::Strings() const {
+  std::vector<std::string> strings;
+  for (const YamlReader& item : Items()) {
+    strings.push_back(item.RequiredString("write a name"));
+  }
+  return strings;
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/modules/gg_http/admin_handler.h
@@ -0,0 +1,47 @@
+#ifndef GG_HTTP_ADMIN_HANDLER_H_
+#define GG_HTTP_ADMIN_HANDLER_H_
+
+#include <functional>
+#include <string>
+
+#include "gg_http/caller_connection.h"
+#include "gg_http/http_types.h"
+#include "gg_steering/steering.h"
+
+namespace greengage {
+
+class Metrics;
+
+/** Serves the operators' endpoints under /.greengage/: health, status, metrics,
+    document and explain. Read-only. Used on its io_context's thread only. */
+class AdminHandler {
+ public:
+  struct Options {
+    Steering* steering = nullptr;  // not owned
+    Metrics* metrics = nullptr;    // not owned
+    /** Returns the control thread's part of the status as a JSON object. */
+    std::function<std::string()> control_status;
+    /** Returns the text of the document in force. */
+    std::function<std::string()> document_text;
+    /** Returns "" when healthy, else why not. */
+    std::function<std::string()> health;
+  };
+
+  explicit AdminHandler(Options options) : options_(std::move(options)) {}
+
+  /** Answers one request. */
+  asio::awaitable<HandledRequest> Handle(CallerConnection* caller,
+                                         const RequestParser& request);
+
+ private:
+  http::response<http::string_body> Answer(std::string_view target) const;
+  std::string StatusJson() const;
+  http::response<http::string_body> Explain(std::string_view target) const;
+  void UpdateGauges() const;
+
+  Options options_;
+};
+
+}  // namespace greengage
+
+#endif  // GG_HTTP_ADMIN_HANDLER_H_
--- /dev/null
+++ b/modules/gg_http/header_policy.cc
@@ -0,0 +1,48 @@
+#include "gg_http/header_policy.h"
+
+#include <algorithm>
+#include <array>
+
+namespace greengage {
+namespace {
+
+constexpr std::array<http::field, 9> kHopByHopFields = {
+    http::field::connection,        http::field::keep_alive,
+    http::field::proxy_connection,  http::field::proxy_authenticate,
+    http::field::proxy_authorization, http::field::te,
+    http::field::trailer,           http::field::transfer_encoding,
+    http::field::upgrade};
+
+bool IsHopByHop(http::field field) {
+  return std::find(kHopByHopFields.begin(), kHopByHopFields.end(), field) !=
+         kHopByHopFields.end();
+}
+
+bool IsNamedByConnection(const http::fields& fields, beast::string_view name) {
+  const http::token_list named(fields[http::field::connection]);
+  return std::any_of(named.begin(), named.end(), [&](const auto& token) {
+    return beast::iequals(token, name);
+  });
+}
+
+}  // namespace
+
+void CopyEndToEndFields(const http::fields& from, http::fields* to) {
+  for (const auto& field : from) {
+    const bool is_framing = field.name() == http::field::content_length ||
+                            field.name() == http::field::expect;
+    if (is_framing || IsHopByHop(field.name()) ||
+        IsNamedByConnection(from, field.name_string())) {
+      continue;
+    }
+    to->insert(field.name(), field.name_string(), field.value());
+  }
+}
+
+bool IsBodyless(http::status status) {
+  return http::to_status_class(status) == http::status_class::informational ||
+         status == http::status::no_content ||
+         status == http::status::not_modified;
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/modules/gg_http/request_dispatcher.h
@@ -0,0 +1,53 @@
+#ifndef GG_HTTP_REQUEST_DISPATCHER_H_
+#define GG_HTTP_REQUEST_DISPATCHER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gg_core/host_id.h"
+#include "gg_http/traffic_server.h"
+#include "gg_steering/steering.h"
+
+namespace greengage {
+
+class Metrics;
+
+/** Routes the requests of one thread: look-ups, orders and all others. It owns
+    the thread's connection pool and store client. Used on one thread only. */
+class RequestDispatcher {
+ public:
+  struct Options {
+    Steering* steering = nullptr;  // not owned
+    Metrics* metrics = nullptr;    // not owned
+    std::vector<std::string> store_addresses;
+    std::string order_prefix;  // of the claims in the store
+    HostId self;
+    std::string traffic_address;
+    TimePoint started_at{};
+    std::function<bool()> is_draining;
+  };
+
+  RequestDispatcher(asio::io_context* context, Options options);
+  ~RequestDispatcher();
+  RequestDispatcher(const RequestDispatcher&) = delete;
+  RequestDispatcher& operator=(const RequestDispatcher&) = delete;
+
+  /** Handles one request and answers the caller in every case. */
+  asio::awaitable<HandledRequest> Handle(CallerConnection* caller,
+                                         RequestParser* request);
+
+ private:
+  struct Parts;
+
+  asio::awaitable<HandledRequest> Forward(CallerConnection* caller,
+                                          RequestParser* request);
+
+  Options options_;
+  std::unique_ptr<Parts> parts_;
+};
+
+}  // namespace greengage
+
+#endif  // GG_HTTP_REQUEST_DISPATCHER_H_
--- /dev/null
+++ b/modules/gg_http/traffic_server.cc
@@ -0,0 +1,220 @@
+#include "gg_http/traffic_server.h"
+
+#include <set>
+
+#include "absl/strings/str_cat.h"
+#include "gg_core/errors.h"
+#include "gg_http/refusal_answer.h"
+
+namespace greengage {
+namespace {
+
+constexpr Duration kSweepInterval = std::chrono::seconds(1);
+constexpr Duration kAcceptRetry = std::chrono::milliseconds(50);
+
+/** How long, and for how many bytes, a closed connection is still read. */
+constexpr Duration kLingerTime = std::chrono::seconds(1);
+constexpr size_t kLingerBytes = 4 * 1024 * 1024;
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+/** Counts one request from its first byte to the end of its answer. */
+class ActiveCount {
+ public:
+  explicit ActiveCount(std::atomic<int64_t>* count) : count_(count) {
+    ++*count_;
+  }
+  ~ActiveCount() { --*count_; }
+  ActiveCount(const ActiveCount&) = delete;
+  ActiveCount& operator=(const ActiveCount&) = delete;
+
+ private:
+  std::atomic<int64_t>* count_;
+};
+
+/** Closes in a way that lets the caller read the last answer: closing with unread
+    bytes would reset the connection and destroy it. */
+asio::awaitable<void> Linger(CallerConnection* caller) {
+  ErrorCode error;
+  caller->stream.socket().shutdown(asio::socket_base::shutdown_send, error);
+  std::string discarded(kBodyChunkBytes, '\0');
+  size_t total = 0;
+  caller->stream.expires_after(kLingerTime);
+  while (!error && total < kLingerBytes) {
+    total += co_await caller->stream.async_read_some(
+        asio::buffer(discarded), Await(&error));
+  }
+}
+
+RefusalAnswer BrokenHeader(const ErrorCode& error, const std::string& peer) {
+  RefusalAnswer refusal{.status = http::status::bad_request,
+                        .outcome = Outcome::kNotRun,
+                        .reason = "bad_request",
+                        .text = error.message(),
+                        .step = Step::kHeaderRead,
+                        .peer = peer};
+  if (error == http::error::header_limit) {
+    refusal.status = http::status::request_header_fields_too_large;
+    refusal.reason = "header_too_long";
+  }
+  return refusal;
+}
+
+}  // namespace
+
+/** One thread with its io_context and the connections on it. */
+struct TrafficServer::Worker {
+  asio::io_context context{1};
+  std::thread thread;
+  RequestHook handler;
+  std::set<CallerConnection*> connections;  // on the worker's thread only
+};
+
+TrafficServer::TrafficServer(Options options) : options_(std::move(options)) {}
+
+TrafficServer::~TrafficServer() { Stop(); }
+
+absl::Status TrafficServer::Start() {
+  const auto endpoint = ParseEndpoint(options_.address);
+  if (!endpoint) {
+    return StepError(absl::StatusCode::kInvalidArgument, Step::kSettings,
+                     options_.address, "not an address; write ip:port");
+  }
+  for (int i = 0; i < options_.threads; ++i) {
+    workers_.push_back(std::make_unique<Worker>());
+  }
+  ErrorCode error;
+  acceptor_ =
+      std::make_unique<asio::ip::tcp::acceptor>(workers_[0]->context);
+  acceptor_->open(endpoint->protocol(), error);
+  acceptor_->set_option(asio::socket_base::reuse_address(true), error);
+  acceptor_->bind(*endpoint, error);
+  if (!error) acceptor_->listen(asio::socket_base::max_listen_connections, error);
+  if (error) {
+    return StepError(absl::StatusCode::kUnavailable, Step::kSettings,
+                     options_.address,
+                     absl::StrCat("cannot listen: ", error.message()));
+  }
+  asio::co_spawn(workers_[0]->context, Accept(), asio::detached);
+  for (const auto& worker : workers_) {
+    Worker* w = worker.get();
+    w->handler = options_.make_handler(&w->context);
+    asio::co_spawn(w->context, SweepIdle(w), asio::detached);
+    w->thread = std::thread([w] { w->context.run(); });
+  }
+  return absl::OkStatus();
+}
+
+void TrafficServer::StopAccepting() {
+  if (workers_.empty()) return;
+  asio::post(workers_[0]->context, [this] {
+    ErrorCode ignored;
+    acceptor_->close(ignored);
+  });
+}
+
+void TrafficServer::CloseIdle() {
+  closing_ = true;
+  for (const auto& worker : workers_) {
+    asio::post(worker->context, [this, w = worker.get()] {
+      CloseIdleOf(w, Duration::zero());
+    });
+  }
+}
+
+void TrafficServer::Stop() {
+  for (const auto& worker : workers_) worker->context.stop();
+  for (const auto& worker : workers_) {
+    if (worker->thread.joinable()) worker->thread.join();
+  }
+}
+
+asio::awaitable<void> TrafficServer::Accept() {
+  while (acceptor_->is_open()) {
+    Worker* worker = workers_[next_worker_++ % workers_.size()].get();
+    asio::ip::tcp::socket socket(worker->context);
+    ErrorCode error;
+    co_await acceptor_->async_accept(socket, Await(&error));
+    if (error) {
+      if (!acceptor_->is_open()) co_return;
+      co_await SleepFor(kAcceptRetry);
+      continue;
+    }
+    asio::co_spawn(worker->context, Serve(worker, std::move(socket)),
+                   asio::detached);
+  }
+}
+
+asio::awaitable<void> TrafficServer::Serve(Worker* worker,
+                                           asio::ip::tcp::socket socket) {
+  ErrorCode error;
+  const auto remote = socket.remote_endpoint(error);
+  if (error) co_return;
+  socket.set_option(asio::ip::tcp::no_delay(true), error);
+  CallerConnection caller(std::move(socket));
+  caller.address =
+      absl::StrCat(remote.address().to_string(), ":", remote.port());
+  if (remote.address().is_v4()) {
+    caller.client = remote.address().to_v4().to_uint();
+  }
+  worker->connections.insert(&caller);
+  co_await ServeRequests(worker, &caller);
+  worker->connections.erase(&caller);
+  co_await Linger(&caller);
+}
+
+asio::awaitable<void> TrafficServer::ServeRequests(Worker* worker,
+                                                   CallerConnection* caller) {
+  while (co_await WaitForRequest(worker, caller)) {
+    const ActiveCount active(&active_);
+    RequestParser request;
+    request.header_limit(kHeaderLimitBytes);
+    request.body_limit(boost::none);
+    ErrorCode error;
+    caller->stream.expires_after(options_.header_limit);
+    co_await http::async_read_header(caller->stream, caller->buffer, request,
+                                     Await(&error));
+    if (error == http::error::end_of_stream ||
+        error == beast::error::timeout ||
+        error == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (error) {
+      co_await SendRefusal(caller, request,
+                           BrokenHeader(error, caller->address));
+      co_return;
+    }
+    caller->stream.expires_never();
+    const HandledRequest handled = co_await worker->handler(caller, &request);
+    if (!handled.keep_alive || closing_) co_return;
+  }
+}
+
+asio::awaitable<bool> TrafficServer::WaitForRequest(Worker* /*worker*/,
+                                                    CallerConnection* caller) {
+  if (caller->buffer.size() > 0) co_return true;
+  caller->is_idle = true;
+  caller->idle_since = Now();
+  ErrorCode error;
+  co_await caller->stream.socket().async_wait(asio::socket_base::wait_read,
+                                              Await(&error));
+  caller->is_idle = false;
+  co_return !error;
+}
+
+asio::awaitable<void> TrafficServer::SweepIdle(Worker* worker) {
+  for (;;) {
+    co_await SleepFor(kSweepInterval);
+    CloseIdleOf(worker, closing_ ? Duration::zero() : options_.idle_limit);
+  }
+}
+
+void TrafficServer::CloseIdleOf(Worker* worker, Duration idle_limit) {
+  for (CallerConnection* caller : worker->connections) {
+    if (!caller->is_idle || Now() - caller->idle_since < idle_limit) continue;
+    ErrorCode ignored;
+    caller->stream.socket().cancel(ignored);
+  }
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/modules/gg_steering/controller.cc
@@ -0,0 +1,534 @@
+#include "gg_steering/controller.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "gg_core/errors.h"
+#include "gg_steering/steering.h"
+
+namespace greengage {
+namespace {
+
+/** Pauses between requests for state to one peer. */
+constexpr Duration kSyncPause = std::chrono::milliseconds(300);
+constexpr Duration kMemberSyncPause = std::chrono::seconds(3);
+
+/** Pauses between attempts to reach contacts that are no members. */
+constexpr Duration kFirstJoinPause = std::chrono::milliseconds(500);
+/** Time that each daemon leaves to those before it to write the plan. */
+constexpr Duration kWriterPatience = std::chrono::seconds(2);
+
+constexpr Duration kJoinPause = std::chrono::seconds(10);
+
+Event EventOf(MemberState state) {
+  switch (state) {
+    case MemberState::kAlive:
+      return Event::kMemberJoined;
+    case MemberState::kLeaving:
+      return Event::kMemberLeaving;
+    case MemberState::kSuspect:
+      return Event::kMemberSuspected;
+    case MemberState::kRemoved:
+      return Event::kMemberRemoved;
+  }
+  return Event::kMemberRemoved;
+}
+
+std::string Text(absl::string_view text) {
+  return {text.data(), text.size()};
+}
+
+}  // namespace
+
+Controller::Controller(Options options, ControllerHooks hooks,
+                       Steering* steering, TimePoint now)
+    : options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      steering_(steering),
+      random_(options_.seed),
+      membership_(
+          [this] {
+            Membership::Options membership = options_.membership;
+            membership.self = options_.self;
+            membership.on_change = [this](const MemberRecord& record) {
+              NoteChange(record);
+            };
+            return membership;
+          }(),
+          now),
+      slices_({.self = options_.self.id,
+               .gone_after = options_.host_gone_after}),
+      loans_({}, steering, options_.seed + 1),
+      started_at_(now),
+      last_tick_(now),
+      next_heartbeat_(now),
+      next_join_(now) {}
+
+void Controller::Tick(TimePoint now) {
+  CheckPause(now);
+  membership_.Tick(now);
+  JoinSeeds(now);
+  FlushMemberUpdates("");
+  if (now >= next_heartbeat_) {
+    SendHeartbeats(now);
+    next_heartbeat_ = now + options_.heartbeat_interval;
+  }
+  UpdateMembers();
+  UpdateWatching();
+  UpdateReadiness(now);
+  MaintainPlan(now);
+  MaintainSlices(now);
+  UpdateBudgets(now);
+  steering_->Tick(now);
+  for (const OutgoingLoanRequest& out : loans_.Tick(LivingPeers(), now)) {
+    hooks_.send(out.address, out.request);
+  }
+}
+
+void Controller::OnPeerMessage(const HostId& from, const PeerMessage& message,
+                               TimePoint now) {
+  membership_.HeardFrom(from, now);
+  struct Visitor {
+    Controller* controller;
+    const HostId& from;
+    TimePoint now;
+    void operator()(const Heartbeat& m) {
+      controller->OnHeartbeat(from, m, now);
+    }
+    void operator()(const MemberUpdate& m) {
+      controller->OnMemberUpdate(m, now);
+    }
+    void operator()(const StateRequest& m) {
+      controller->OnStateRequest(from, m);
+    }
+    void operator()(const DocumentUpdate& m) {
+      controller->OnDocumentUpdate(from, m, now);
+    }
+    void operator()(const SharedValue& m) { controller->OnSharedValue(m, now); }
+    void operator()(const PositionUpdate& m) {
+      controller->OnPositionUpdate(m, now);
+    }
+    void operator()(const LoanRequest& m) {
+      controller->OnLoanRequest(from, m, now);
+    }
+    void operator()(const LoanGrant& m) { controller->OnLoanGrant(m, now); }
+  };
+  std::visit(Visitor{this, from, now}, message);
+  FlushMemberUpdates(from.address);
+}
+
+void Controller::OnStoreValue(const StoreValue& value, TimePoint now) {
+  known_.insert(value.key);
+  if (value.key == SharedKey::kSlices && confirm_by_) {
+    confirm_by_.reset();
+    slices_.Resume();
+  }
+  if (value.revision == 0) return;
+  if (value.key == SharedKey::kDocument) {
+    ApplyOffer(replica_.OfferText(value.text, value.revision), now);
+  } else {
+    ApplyShared(value.key, value.revision, value.text, now);
+  }
+}
+
+void Controller::OnStoreAvailable(bool available, TimePoint /*now*/) {
+  if (available == store_available_) return;
+  store_available_ = available;
+  hooks_.log(LogLevel::kWarning,
+             available ? Event::kStoreAvailable : Event::kStoreUnavailable, "");
+}
+
+void Controller::StartDrain(TimePoint now) {
+  membership_.Leave(now);
+  FlushMemberUpdates("");
+  UpdateMembers();
+}
+
+bool Controller::HasReleasedAll() const {
+  return slices_.owned() == 0 || !store_available_;
+}
+
+void Controller::OnHeartbeat(const HostId& from, const Heartbeat& message,
+                             TimePoint now) {
+  if (message.wants_reply) {
+    hooks_.send(from.address, MakeHeartbeat(false));
+  }
+  const bool has_news = message.document_revision > replica_.revision() ||
+                        message.plan_revision > plan_.revision() ||
+                        message.slices_revision > slices_.revision() ||
+                        message.hosts_revision >
+                            shared_[SharedKey::kHosts].revision;
+  const bool differs = message.members_digest != membership_.Digest();
+  TimePoint& next_sync = next_sync_[from.address];
+  if (has_news && now >= next_sync) {
+    next_sync = now + kSyncPause;
+    hooks_.send(from.address, MakeStateRequest());
+  } else if (differs && now >= next_sync) {
+    next_sync = now + kMemberSyncPause;
+    StateRequest request = MakeStateRequest();
+    request.wants_members = true;
+    hooks_.send(from.address, request);
+  }
+}
+
+void Controller::OnMemberUpdate(const MemberUpdate& message, TimePoint now) {
+  for (const MemberRecord& record : message.records) {
+    membership_.Merge(record, now);
+  }
+  UpdateMembers();
+}
+
+void Controller::OnStateRequest(const HostId& from,
+                                const StateRequest& message) {
+  if (message.wants_members) {
+    hooks_.send(from.address, MemberUpdate{membership_.AllRecords()});
+  }
+  if (replica_.revision() > message.document_revision) {
+    hooks_.send(from.address, replica_.UpdateSince(message.document_revision));
+  }
+  const auto send_newer = [&](SharedKey key, uint64_t have_revision) {
+    const auto value = shared_.find(key);
+    if (value != shared_.end() && value->second.revision > have_revision) {
+      hooks_.send(from.address, value->second);
+    }
+  };
+  send_newer(SharedKey::kPlan, message.plan_revision);
+  send_newer(SharedKey::kSlices, message.slices_revision);
+  send_newer(SharedKey::kHosts, message.hosts_revision);
+  PositionUpdate positions;
+  if (message.wants_positions) positions.positions = steering_->Positions();
+  hooks_.send(from.address, positions);
+}
+
+void Controller::OnDocumentUpdate(const HostId& from,
+                                  const DocumentUpdate& message,
+                                  TimePoint now) {
+  const DocumentOffer offer = replica_.OfferUpdate(message);
+  if (offer == DocumentOffer::kIncomplete) {
+    StateRequest request = MakeStateRequest();
+    request.document_revision = 0;
+    hooks_.send(from.address, request);
+    return;
+  }
+  ApplyOffer(offer, now);
+}
+
+void Controller::OnSharedValue(const SharedValue& message, TimePoint now) {
+  if (message.key == SharedKey::kDocument) return;
+  ApplyShared(message.key, message.revision, message.text, now);
+}
+
+void Controller::OnPositionUpdate(const PositionUpdate& message,
+                                  TimePoint now) {
+  if (confirm_by_) {
+    confirm_by_.reset();
+    slices_.Resume();
+  }
+  if (is_ready_ || message.positions.empty()) return;
+  steering_->StartPositions(message.positions, now);
+  heard_peer_state_ = true;
+  UpdateReadiness(now);
+}
+
+void Controller::OnLoanRequest(const HostId& from, const LoanRequest& message,
+                               TimePoint now) {
+  const std::optional<LoanGrant> grant = loans_.OnRequest(message, now);
+  if (!grant) return;
+  hooks_.log(LogLevel::kDebug, Event::kLoanGranted,
+             absl::StrCat("peer=", from.address, " region=", grant->region,
+                          " permits=", grant->permits));
+  hooks_.send(from.address, *grant);
+}
+
+void Controller::OnLoanGrant(const LoanGrant& message, TimePoint now) {
+  if (!loans_.OnGrant(message, now)) return;
+  hooks_.log(LogLevel::kDebug, Event::kLoanReceived,
+             absl::StrCat("region=", message.region,
+                          " permits=", message.permits));
+}
+
+void Controller::ApplyOffer(DocumentOffer offer, TimePoint now) {
+  if (offer == DocumentOffer::kInvalid &&
+      replica_.last_error().code() == absl::StatusCode::kInvalidArgument) {
+    hooks_.log(LogLevel::kError, Event::kDocumentRefused,
+               Text(replica_.last_error().message()));
+  }
+  if (offer != DocumentOffer::kAccepted) return;
+  hooks_.log(LogLevel::kInfo, Event::kDocumentAccepted,
+             absl::StrCat("revision=", replica_.revision()));
+  steering_->ApplyDocument(replica_.document(), replica_.revision(), now);
+  UpdateBudgets(now);
+  UpdateReadiness(now);
+  AnnounceRevisions();
+}
+
+void Controller::ApplyShared(SharedKey key, uint64_t revision,
+                             const std::string& text, TimePoint now) {
+  if (revision <= shared_[key].revision) return;
+  absl::Status status;
+  if (key == SharedKey::kPlan) {
+    const absl::StatusOr<RampPlan> plan = RampPlanFromJson(text);
+    status = plan.status();
+    if (plan.ok() && plan_.Apply(*plan, revision, now) && is_ready_) {
+      steering_->ApplyPlan(plan_.plan(), now);
+      hooks_.log(LogLevel::kDebug, Event::kShiftStep,
+                 absl::StrCat("revision=", revision));
+    }
+  } else if (key == SharedKey::kSlices) {
+    const absl::StatusOr<SliceTable> table = SliceTableFromJson(text);
+    status = table.status();
+    const int64_t before = slices_.owned();
+    if (table.ok() && slices_.Apply(*table, revision, Quarantine(), now)) {
+      UpdateBudgets(now);
+      if (slices_.owned() != before) {
+        hooks_.log(LogLevel::kInfo,
+                   slices_.owned() > before ? Event::kSlicesClaimed
+                                            : Event::kSlicesReleased,
+                   absl::StrCat("owned=", slices_.owned()));
+      }
+    }
+  } else {
+    ApplyHosts(text, now);
+  }
+  if (!status.ok()) {
+    hooks_.log(LogLevel::kError, Event::kDocumentRefused,
+               Text(status.message()));
+    return;
+  }
+  shared_[key] = {key, revision, text};
+  AnnounceRevisions();
+}
+
+void Controller::ApplyHosts(const std::string& text, TimePoint now) {
+  const auto json = nlohmann::json::parse(text, nullptr, false);
+  if (!json.is_object() || !json.contains("hosts")) return;
+  listed_hosts_.clear();
+  listed_leaving_.clear();
+  for (const auto& host : json["hosts"]) {
+    if (!host.is_object()) continue;
+    const std::string address = host.value("address", "");
+    listed_hosts_.insert(address);
+    if (host.value("state", "live") == "leaving") {
+      listed_leaving_.insert(address);
+    }
+  }
+  slices_.ApplyHosts({listed_hosts_}, now);
+  applied_digest_ = 0;
+}
+
+void Controller::NoteChange(const MemberRecord& record) {
+  pending_updates_.push_back(record);
+  if (record.id == options_.self.id) return;
+  hooks_.log(LogLevel::kInfo, EventOf(record.state),
+             absl::StrCat("peer=", record.id.address,
+                          " incarnation=", record.id.incarnation,
+                          " version=", record.version));
+}
+
+Heartbeat Controller::MakeHeartbeat(bool wants_reply) const {
+  const auto hosts = shared_.find(SharedKey::kHosts);
+  return {.members_digest = membership_.Digest(),
+          .document_revision = replica_.revision(),
+          .plan_revision = plan_.revision(),
+          .slices_revision = slices_.revision(),
+          .hosts_revision =
+              hosts == shared_.end() ? 0 : hosts->second.revision,
+          .wants_reply = wants_reply};
+}
+
+StateRequest Controller::MakeStateRequest() const {
+  const Heartbeat have = MakeHeartbeat(false);
+  return {.wants_members = false,
+          .wants_positions = !is_ready_,
+          .document_revision = have.document_revision,
+          .plan_revision = have.plan_revision,
+          .slices_revision = have.slices_revision,
+          .hosts_revision = have.hosts_revision};
+}
+
+void Controller::SendHeartbeats(TimePoint /*now*/) {
+  for (const std::string& address : membership_.Neighbours()) {
+    hooks_.send(address, MakeHeartbeat(false));
+  }
+}
+
+void Controller::AnnounceRevisions() {
+  for (const std::string& address : membership_.Neighbours()) {
+    hooks_.send(address, MakeHeartbeat(false));
+  }
+}
+
+void Controller::FlushMemberUpdates(const std::string& source) {
+  if (pending_updates_.empty()) return;
+  MemberUpdate update{std::move(pending_updates_)};
+  pending_updates_.clear();
+  for (const std::string& address : membership_.Neighbours()) {
+    if (address != source) hooks_.send(address, update);
+  }
+}
+
+void Controller::JoinSeeds(TimePoint now) {
+  if (now < next_join_) return;
+  const std::set<std::string> living = LivingAddresses();
+  const bool is_alone = living.size() <= 1;
+  next_join_ = now + (is_alone ? kFirstJoinPause : kJoinPause);
+  for (const std::string& address : Contacts()) {
+    if (living.count(address) != 0) continue;
+    StateRequest request = MakeStateRequest();
+    request.wants_members = true;
+    hooks_.send(address, MemberUpdate{{membership_.self()}});
+    hooks_.send(address, request);
+  }
+}
+
+void Controller::CheckPause(TimePoint now) {
+  const bool was_paused = now - last_tick_ > options_.pause_limit;
+  last_tick_ = now;
+  if (was_paused) {
+    slices_.Suspend();
+    confirm_by_ = now + options_.confirm_limit;
+    for (const std::string& address : membership_.Neighbours()) {
+      hooks_.send(address, MakeStateRequest());
+    }
+  }
+  if (confirm_by_ && now >= *confirm_by_) {
+    confirm_by_.reset();
+    slices_.Resume();
+  }
+}
+
+void Controller::UpdateWatching() {
+  int rank = 0;
+  for (const MemberRecord& member : membership_.Members()) {
+    const bool is_before = member.zone == options_.self.zone &&
+                           member.state < MemberState::kSuspect &&
+                           member.id.address < options_.self.id.address;
+    if (is_before) ++rank;
+  }
+  const bool should_watch = rank < options_.watchers_per_zone || !is_ready_;
+  if (should_watch == is_watching_) return;
+  is_watching_ = should_watch;
+  hooks_.set_watching(should_watch);
+}
+
+void Controller::UpdateReadiness(TimePoint now) {
+  if (is_ready_ || replica_.document() == nullptr) return;
+  const bool has_waited = now - started_at_ >= options_.position_wait;
+  const bool knows_plan = known_.count(SharedKey::kPlan) != 0;
+  if (!heard_peer_state_ && !(knows_plan && has_waited)) return;
+  is_ready_ = true;
+  steering_->ApplyPlan(plan_.plan(), now);
+}
+
+void Controller::UpdateBudgets(TimePoint now) {
+  if (replica_.document() == nullptr) return;
+  for (const RegionSpec& region : replica_.document()->regions) {
+    steering_->SetOwnPermits(
+        region.name, slices_.UsablePermits(region.name, region.capacity, now));
+  }
+  steering_->SetLinkShare(slices_.UsableShare(now));
+}
+
+void Controller::UpdateMembers() {
+  if (membership_.Digest() == applied_digest_) return;
+  applied_digest_ = membership_.Digest();
+  std::vector<MemberRecord> members = membership_.Members();
+  for (MemberRecord& member : members) {
+    const bool is_listed_leaving =
+        listed_leaving_.count(member.id.address) != 0;
+    if (is_listed_leaving && member.state == MemberState::kAlive) {
+      member.state = MemberState::kLeaving;
+    }
+  }
+  steering_->SetMembers(std::move(members));
+}
+
+void Controller::MaintainSlices(TimePoint now) {
+  if (!store_available_ || replica_.document() == nullptr) return;
+  slices_.PlanRelease(membership_.LivingCount(), is_releasing_);
+  UpdateBudgets(now);
+  if (const std::optional<SliceTable> released = slices_.ReleasedTable()) {
+    if (!IsIdleEnoughToRelease() || !MayWrite(SharedKey::kSlices, now)) return;
+    hooks_.write_store({SharedKey::kSlices, slices_.revision(),
+                        SliceTableToJson(*released)});
+    return;
+  }
+  const bool is_leaving = membership_.self().state == MemberState::kLeaving;
+  if (is_leaving || known_.count(SharedKey::kSlices) == 0) return;
+  const std::optional<SliceTable> claimed = slices_.PlanClaim(
+      replica_.document()->slices, LivingAddresses(), now);
+  if (claimed && MayWrite(SharedKey::kSlices, now)) {
+    hooks_.write_store({SharedKey::kSlices, slices_.revision(),
+                        SliceTableToJson(*claimed)});
+  }
+}
+
+void Controller::MaintainPlan(TimePoint now) {
+  if (!store_available_ || !is_ready_) return;
+  if (known_.count(SharedKey::kPlan) == 0) return;
+  const std::optional<RampPlan> next =
+      plan_.PlanNext(*replica_.document(), now);
+  if (!next) {
+    plan_due_since_.reset();
+    return;
+  }
+  if (!plan_due_since_) plan_due_since_ = now;
+  // The first living address writes; each next one waits a little longer, in case
+  // those before it cannot reach the store.
+  const std::set<std::string> living = LivingAddresses();
+  const auto rank = std::distance(living.begin(),
+                                  living.lower_bound(options_.self.id.address));
+  if (now - *plan_due_since_ < rank * kWriterPatience) return;
+  if (MayWrite(SharedKey::kPlan, now)) {
+    hooks_.write_store(
+        {SharedKey::kPlan, plan_.revision(), RampPlanToJson(*next)});
+  }
+}
+
+bool Controller::MayWrite(SharedKey key, TimePoint now) {
+  TimePoint& next_write = next_write_[key];
+  if (now < next_write) return false;
+  const double jitter = 1 + random_.Uniform();
+  next_write =
+      now + FromSeconds(ToSeconds(options_.write_pause) * jitter);
+  return true;
+}
+
+bool Controller::IsIdleEnoughToRelease() const {
+  for (const RegionSpec& region : replica_.document()->regions) {
+    const RegionUsage usage = steering_->Usage(region.name);
+    if (usage.in_use + usage.lent > usage.own) return false;
+  }
+  return true;
+}
+
+Duration Controller::Quarantine() const {
+  const BudgetTable::Options& budget = steering_->options().budget;
+  const Duration loans = budget.loan_term + budget.loan_margin;
+  if (replica_.document() == nullptr) return loans;
+  return std::max(loans, LongestTimeLimit(*replica_.document()));
+}
+
+std::vector<std::string> Controller::LivingPeers() const {
+  std::set<std::string> living = LivingAddresses();
+  living.erase(options_.self.id.address);
+  return {living.begin(), living.end()};
+}
+
+std::set<std::string> Controller::LivingAddresses() const {
+  std::set<std::string> living;
+  for (const MemberRecord& member : membership_.Members()) {
+    if (member.state < MemberState::kSuspect) living.insert(member.id.address);
+  }
+  return living;
+}
+
+std::vector<std::string> Controller::Contacts() const {
+  std::set<std::string> contacts = listed_hosts_;
+  contacts.insert(options_.seeds.begin(), options_.seeds.end());
+  contacts.erase(options_.self.id.address);
+  return {contacts.begin(), contacts.end()};
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/modules/gg_steering/member_record.h
@@ -0,0 +1,37 @@
+#ifndef GG_STEERING_MEMBER_RECORD_H_
+#define GG_STEERING_MEMBER_RECORD_H_
+
+#include <cstdint>
+#include <string>
+
+#include "gg_core/enum_names.h"
+#include "gg_core/host_id.h"
+
+namespace greengage {
+
+/** Standing of a daemon, in ascending severity: of two records with the same
+    incarnation and version the more severe one wins. */
+enum class MemberState { kAlive, kLeaving, kSuspect, kRemoved };
+
+inline constexpr EnumNames<MemberState, 4> kMemberStateNames{
+    {"alive", "leaving", "suspect", "removed"}};
+
+/** What the fleet knows about one daemon. */
+struct MemberRecord {
+  HostId id;
+  std::string traffic_address;
+  std::string zone;
+  std::string region;
+  uint64_t version = 0;  // raised by the daemon itself only
+  MemberState state = MemberState::kAlive;
+
+  friend bool operator==(const MemberRecord&, const MemberRecord&) = default;
+};
+
+/** True when `a` replaces `b`: newer incarnation, else newer version, else more
+    severe state. */
+bool Supersedes(const MemberRecord& a, const MemberRecord& b);
+
+}  // namespace greengage
+
+#endif  // GG_STEERING_MEMBER_RECORD_H_
--- /dev/null
+++ b/modules/gg_steering/membership.cc
@@ -0,0 +1,154 @@
+#include "gg_steering/membership.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "gg_core/hash.h"
+
+namespace greengage {
+namespace {
+
+/** Removed members count as absent: they are forgotten at different times. */
+uint64_t RecordHash(const MemberRecord& record) {
+  if (record.state == MemberState::kRemoved) return 0;
+  return Hash64(absl::StrCat(record.id.address, "/", record.id.incarnation, "/",
+                             record.version, "/",
+                             static_cast<int>(record.state)));
+}
+
+}  // namespace
+
+Membership::Membership(Options options, TimePoint now)
+    : options_(std::move(options)),
+      self_(options_.self),
+      last_tick_(now) {
+  Store(self_, now);
+}
+
+bool Membership::Merge(const MemberRecord& record, TimePoint now) {
+  if (record.id.address == self_.id.address) {
+    if (record == self_ || !Supersedes(record, self_)) return false;
+    Refute(record, now);
+    return true;
+  }
+  const auto found = entries_.find(record.id.address);
+  const bool is_known = found != entries_.end();
+  if (is_known && !Supersedes(record, found->second.record)) return false;
+  if (!is_known && record.state == MemberState::kRemoved) return false;
+  Store(record, now);
+  Announce(record);
+  return true;
+}
+
+void Membership::HeardFrom(const HostId& id, TimePoint now) {
+  const auto heard = heard_.find(id.address);
+  if (heard == heard_.end()) return;
+  const auto entry = entries_.find(id.address);
+  const bool is_current = entry != entries_.end() &&
+                          entry->second.record.id.incarnation <= id.incarnation;
+  if (is_current) heard->second = std::max(heard->second, now);
+}
+
+void Membership::Tick(TimePoint now) {
+  const bool was_paused = now - last_tick_ >= options_.suspect_after / 2;
+  last_tick_ = now;
+  if (was_paused) {
+    for (auto& [address, heard] : heard_) heard = now;
+  }
+  std::vector<MemberRecord> changed;
+  for (const auto& [address, heard] : heard_) {
+    const MemberRecord& record = entries_.at(address).record;
+    const bool can_suspect = record.state < MemberState::kSuspect;
+    if (can_suspect && now - heard >= options_.suspect_after) {
+      changed.push_back(record);
+      changed.back().state = MemberState::kSuspect;
+    }
+  }
+  for (const auto& [address, entry] : entries_) {
+    if (entry.record.state == MemberState::kSuspect &&
+        now - entry.changed_at >= options_.remove_after) {
+      changed.push_back(entry.record);
+      changed.back().state = MemberState::kRemoved;
+    }
+  }
+  for (const MemberRecord& record : changed) Merge(record, now);
+  std::erase_if(entries_, [&](const auto& item) {
+    return item.second.record.state == MemberState::kRemoved &&
+           now - item.second.changed_at >= options_.forget_after;
+  });
+}
+
+void Membership::Leave(TimePoint now) {
+  self_.state = MemberState::kLeaving;
+  ++self_.version;
+  Store(self_, now);
+  Announce(self_);
+}
+
+std::vector<MemberRecord> Membership::Members() const {
+  std::vector<MemberRecord> members;
+  for (const auto& [address, entry] : entries_) {
+    if (entry.record.state != MemberState::kRemoved) {
+      members.push_back(entry.record);
+    }
+  }
+  return members;
+}
+
+std::vector<MemberRecord> Membership::AllRecords() const {
+  std::vector<MemberRecord> records;
+  records.reserve(entries_.size());
+  for (const auto& [address, entry] : entries_) {
+    records.push_back(entry.record);
+  }
+  return records;
+}
+
+int64_t Membership::LivingCount() const {
+  return std::count_if(entries_.begin(), entries_.end(), [](const auto& item) {
+    return item.second.record.state < MemberState::kSuspect;
+  });
+}
+
+void Membership::Store(const MemberRecord& record, TimePoint now) {
+  Entry& entry = entries_[record.id.address];
+  const bool is_new = entry.record.id.address.empty();
+  const bool is_removal_change =
+      is_new || (entry.record.state == MemberState::kRemoved) !=
+                    (record.state == MemberState::kRemoved);
+  if (!is_new) digest_ -= RecordHash(entry.record);
+  digest_ += RecordHash(record);
+  entry = {record, now};
+  if (is_removal_change) UpdateNeighbours(now);
+}
+
+void Membership::Refute(const MemberRecord& claim, TimePoint now) {
+  // A record of a later incarnation at this address can only come from a process
+  // that bound the same port after this one; it is not answered.
+  if (claim.id.incarnation != self_.id.incarnation) return;
+  self_.version = claim.version + 1;
+  Store(self_, now);
+  Announce(self_);
+}
+
+void Membership::UpdateNeighbours(TimePoint now) {
+  std::vector<OverlayNode> nodes;
+  for (const auto& [address, entry] : entries_) {
+    if (entry.record.state == MemberState::kRemoved) continue;
+    nodes.push_back({address, entry.record.zone});
+  }
+  neighbours_ =
+      OverlayNeighbours(nodes, self_.id.address, options_.overlay);
+  std::map<std::string, TimePoint> heard;
+  for (const std::string& address : neighbours_) {
+    const auto known = heard_.find(address);
+    heard[address] = known == heard_.end() ? now : known->second;
+  }
+  heard_ = std::move(heard);
+}
+
+void Membership::Announce(const MemberRecord& record) const {
+  if (options_.on_change) options_.on_change(record);
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/modules/gg_steering/order_ledger.cc
@@ -0,0 +1,66 @@
+#include "gg_steering/order_ledger.h"
+
+#include <cassert>
+
+namespace greengage {
+
+OrderBegin OrderLedger::Begin(const std::string& key, TimePoint expires_at,
+                              OrderAnswer* answer) {
+  const auto found = records_.find(key);
+  if (found == records_.end()) {
+    if (records_.size() >= options_.max_orders) return OrderBegin::kFull;
+    records_.emplace(key, Record{.expires_at = expires_at});
+    return OrderBegin::kStarted;
+  }
+  switch (found->second.state) {
+    case OrderState::kRunning:
+      return OrderBegin::kRunning;
+    case OrderState::kUnknown:
+      return OrderBegin::kUnknown;
+    case OrderState::kAnswered:
+      *answer = found->second.answer;
+      return OrderBegin::kAnswered;
+  }
+  return OrderBegin::kUnknown;
+}
+
+void OrderLedger::Abandon(const std::string& key) {
+  const auto found = records_.find(key);
+  // Only the request that got kStarted may abandon an order, and only while it
+  // has not been dispatched.
+  assert(found != records_.end() &&
+         found->second.state == OrderState::kRunning);
+  if (found != records_.end()) records_.erase(found);
+}
+
+void OrderLedger::Complete(const std::string& key, OrderAnswer answer) {
+  const auto found = records_.find(key);
+  if (found == records_.end()) return;
+  const bool fits =
+      answer.body_kept && answer.body.size() <= options_.max_body_bytes &&
+      body_bytes_ + answer.body.size() <= options_.max_total_bytes;
+  if (!fits) {
+    answer.body.clear();
+    answer.body_kept = false;
+  }
+  body_bytes_ += answer.body.size();
+  found->second.state = OrderState::kAnswered;
+  found->second.answer = std::move(answer);
+}
+
+void OrderLedger::MarkUnknown(const std::string& key) {
+  const auto found = records_.find(key);
+  if (found != records_.end()) found->second.state = OrderState::kUnknown;
+}
+
+void OrderLedger::Expire(TimePoint now) {
+  std::erase_if(records_, [&](const auto& entry) {
+    const Record& record = entry.second;
+    const bool is_over =
+        record.state != OrderState::kRunning && record.expires_at <= now;
+    if (is_over) body_bytes_ -= record.answer.body.size();
+    return is_over;
+  });
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/modules/gg_steering/retry_budget.h
@@ -0,0 +1,39 @@
+#ifndef GG_STEERING_RETRY_BUDGET_H_
+#define GG_STEERING_RETRY_BUDGET_H_
+
+#include <algorithm>
+
+namespace greengage {
+
+/** Bounds retries to a fraction of first attempts, so that retries cannot
+    multiply an overload. One thread at a time. */
+class RetryBudget {
+ public:
+  struct Options {
+    double fraction = 0.1;  // retries earned by each first attempt
+    double burst = 10;      // most retries saved up
+  };
+
+  explicit RetryBudget(Options options)
+      : options_(options), tokens_(options.burst) {}
+
+  /** Counts one first attempt. */
+  void OnAttempt() {
+    tokens_ = std::min(tokens_ + options_.fraction, options_.burst);
+  }
+
+  /** Takes one retry; false when the budget is spent. */
+  bool TryTake() {
+    if (tokens_ < 1) return false;
+    tokens_ -= 1;
+    return true;
+  }
+
+ private:
+  Options options_;
+  double tokens_;
+};
+
+}  // namespace greengage
+
+#endif  // GG_STEERING_RETRY_BUDGET_H_
--- /dev/null
+++ b/modules/gg_steering/target_table.h
@@ -0,0 +1,99 @@
+#ifndef GG_STEERING_TARGET_TABLE_H_
+#define GG_STEERING_TARGET_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gg_core/random.h"
+#include "gg_core/time.h"
+#include "gg_document/document.h"
+
+namespace greengage {
+
+/** How an attempt at a target ended. */
+enum class AttemptResult { kAnswered, kShed, kFailed, kCancelled };
+
+/** Change of a target's standing, worth a log line. */
+enum class TargetChange { kNone, kEjected, kRestored };
+
+/** Row of the target table. */
+struct TargetState {
+  TargetSpec spec;
+  std::string service;
+  std::string region;
+  int64_t in_flight = 0;         // of this daemon
+  double latency_seconds = 0;    // moving average, 0 before the first answer
+  int consecutive_failures = 0;
+  TimePoint ejected_until{};
+  TimePoint shed_until{};
+  TimePoint known_since{};
+  bool removed = false;
+};
+
+/** What Choose() is asked. */
+struct TargetQuery {
+  std::string service;
+  std::string region;
+  std::vector<size_t> excluded;  // rows already tried
+};
+
+/** Targets of all services as one table, with what this daemon has seen of them.
+
+    The choice samples two rows and takes the one with the lower expected time to
+    finish, from own requests in flight and observed latency. (Mitzenmacher, "The
+    Power of Two Choices in Randomized Load Balancing", IEEE TPDS 2001.) Load that
+    targets report about themselves is not used.
+
+    One thread at a time; Steering holds the lock. */
+class TargetTable {
+ public:
+  struct Options {
+    int failures_to_eject = 3;
+    Duration ejection = std::chrono::seconds(5);
+    Duration shed_pause = std::chrono::milliseconds(200);
+    double latency_weight = 0.2;  // of the newest sample
+  };
+
+  explicit TargetTable(Options options) : options_(options) {}
+
+  //==============================================================================
+  /** Takes over the targets of `document`. Rows keep their index and history; a
+      row whose target is gone is marked and takes no new work. */
+  void Apply(const Document& document, TimePoint now);
+
+  /** Chooses a row for one request and counts it in flight, or nothing when no
+      target there can take work. */
+  std::optional<size_t> Choose(const TargetQuery& query, Random* random,
+                               TimePoint now);
+
+  /** Reports the end of a request that Choose() gave out. */
+  TargetChange Finish(size_t row, AttemptResult result, Duration latency,
+                      TimePoint now);
+
+  //==============================================================================
+  /** True when some target of the service in the region may take work. */
+  bool IsRegionUsable(const std::string& service, const std::string& region,
+                      TimePoint now) const;
+
+  const TargetState& row(size_t index) const { return rows_[index]; }
+  size_t size() const { return rows_.size(); }
+
+ private:
+  bool IsUsable(const TargetState& state, TimePoint now) const;
+  double Cost(const TargetState& state, TimePoint now) const;
+  double ColdFactor(const TargetState& state, TimePoint now) const;
+
+  Options options_;
+  std::vector<TargetState> rows_;
+  std::map<std::string, size_t> row_by_address_;
+  std::map<std::string, std::map<std::string, std::vector<size_t>>> by_place_;
+  std::map<std::string, Duration> cold_start_;
+  bool has_document_ = false;
+};
+
+}  // namespace greengage
+
+#endif  // GG_STEERING_TARGET_TABLE_H_
--- /dev/null
+++ b/modules/gg_store/asio.cc
@@ -0,0 +1,23 @@
+#include "gg_store/asio.h"
+
+#include <charconv>
+
+namespace greengage {
+
+std::optional<asio::ip::tcp::endpoint> ParseEndpoint(std::string_view text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  ErrorCode error;
+  const auto address =
+      asio::ip::make_address(std::string(text.substr(0, colon)), error);
+  uint16_t port = 0;
+  const std::string_view digits = text.substr(colon + 1);
+  const auto [end, parse_error] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  const bool is_valid = !error && parse_error == std::errc() &&
+                        end == digits.data() + digits.size();
+  if (!is_valid) return std::nullopt;
+  return asio::ip::tcp::endpoint(address, port);
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/modules/gg_store/asio.h
@@ -0,0 +1,44 @@
+#ifndef GG_STORE_ASIO_H_
+#define GG_STORE_ASIO_H_
+
+#include <utility>  // used by Boost.Asio 1.74 without being included there
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "gg_core/time.h"
+
+namespace greengage {
+
+namespace asio = boost::asio;
+
+using ErrorCode = boost::system::error_code;
+
+/** Completion token: the coroutine goes on and `*error` holds the result. */
+inline auto Await(ErrorCode* error) {
+  return asio::redirect_error(asio::use_awaitable, *error);
+}
+
+/** Suspends the calling coroutine for `duration`. */
+inline asio::awaitable<void> SleepFor(Duration duration) {
+  asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+  ErrorCode ignored;
+  co_await timer.async_wait(Await(&ignored));
+}
+
+/** Parses "ip:port"; nothing when `text` is no such address. */
+std::optional<asio::ip::tcp::endpoint> ParseEndpoint(std::string_view text);
+
+}  // namespace greengage
+
+#endif  // GG_STORE_ASIO_H_
--- /dev/null
+++ b/modules/gg_store/gg_store.h
@@ -0,0 +1,18 @@
+#ifndef GG_STORE_GG_STORE_H_
+#define GG_STORE_GG_STORE_H_
+
+/** @file
+    gg_store: client of the platform's key-value service.
+
+    Purpose: reads, compare-and-swap, leases and watches over the JSON form of the
+    etcd v3 protocol, and a session that keeps shared keys up to date.
+    Depends on: gg_core, gg_insight.
+*/
+
+#include "gg_store/asio.h"
+#include "gg_store/store_client.h"
+#include "gg_store/store_codec.h"
+#include "gg_store/store_session.h"
+#include "gg_store/store_types.h"
+
+#endif  // GG_STORE_GG_STORE_H_
--- /dev/null
+++ b/modules/gg_store/store_client.cc
@@ -0,0 +1,201 @@
+#include "gg_store/store_client.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include "gg_core/errors.h"
+#include "gg_store/store_codec.h"
+
+namespace greengage {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr size_t kMaxIdleConnections = 4;
+constexpr size_t kMaxAnswerBytes = 16 * 1024 * 1024;
+constexpr size_t kWatchChunkBytes = 16 * 1024;
+
+http::request<http::string_body> MakeRequest(const std::string& path,
+                                             const std::string& address,
+                                             std::string body) {
+  http::request<http::string_body> request(http::verb::post, path, 11);
+  request.set(http::field::host, address);
+  request.set(http::field::content_type, "application/json");
+  request.body() = std::move(body);
+  request.prepare_payload();
+  return request;
+}
+
+/** Splits complete lines off the front of `text`. */
+std::vector<std::string> TakeLines(std::string* text) {
+  std::vector<std::string> lines;
+  size_t end = 0;
+  while ((end = text->find('\n')) != std::string::npos) {
+    if (end > 0) lines.push_back(text->substr(0, end));
+    text->erase(0, end + 1);
+  }
+  return lines;
+}
+
+}  // namespace
+
+struct StoreClient::Connection {
+  explicit Connection(const asio::any_io_executor& executor)
+      : stream(executor) {}
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  std::string address;
+};
+
+StoreClient::StoreClient(asio::io_context* /*context*/, Options options)
+    : options_(std::move(options)) {}
+
+StoreClient::~StoreClient() = default;
+
+asio::awaitable<absl::StatusOr<StoreRead>> StoreClient::Get(std::string key) {
+  const auto answer = co_await Call("/v3/kv/range", EncodeRange(key, ""));
+  if (!answer.ok()) co_return answer.status();
+  co_return DecodeRange(*answer, CurrentAddress());
+}
+
+asio::awaitable<absl::StatusOr<StoreRead>> StoreClient::GetPrefix(
+    std::string prefix) {
+  const auto answer = co_await Call("/v3/kv/range",
+                                    EncodeRange(prefix, PrefixEnd(prefix)));
+  if (!answer.ok()) co_return answer.status();
+  co_return DecodeRange(*answer, CurrentAddress());
+}
+
+asio::awaitable<absl::StatusOr<StoreSwapResult>> StoreClient::Swap(
+    StoreSwap swap) {
+  const auto answer = co_await Call("/v3/kv/txn", EncodeSwap(swap));
+  if (!answer.ok()) co_return answer.status();
+  co_return DecodeSwap(*answer, CurrentAddress());
+}
+
+asio::awaitable<absl::StatusOr<int64_t>> StoreClient::GrantLease(
+    int64_t ttl_seconds) {
+  const auto answer =
+      co_await Call("/v3/lease/grant", EncodeLeaseGrant(ttl_seconds));
+  if (!answer.ok()) co_return answer.status();
+  co_return DecodeLeaseGrant(*answer, CurrentAddress());
+}
+
+asio::awaitable<absl::Status> StoreClient::Watch(std::string prefix,
+                                                 uint64_t start_revision,
+                                                 Duration idle_limit,
+                                                 WatchHook hook) {
+  auto connected = co_await Connect();
+  if (!connected.ok()) co_return connected.status();
+  const std::unique_ptr<Connection> connection = *std::move(connected);
+  const auto failed = [&](const ErrorCode& error) {
+    watching_ = nullptr;
+    return StepError(absl::StatusCode::kUnavailable, Step::kStoreCall,
+                     connection->address, error.message());
+  };
+  watching_ = connection.get();
+  ErrorCode error;
+  const auto request = MakeRequest("/v3/watch", connection->address,
+                                   EncodeWatch(prefix, start_revision));
+  co_await http::async_write(connection->stream, request, Await(&error));
+  if (error) co_return failed(error);
+  http::response_parser<http::buffer_body> parser;
+  parser.body_limit(boost::none);
+  connection->stream.expires_after(idle_limit);
+  co_await http::async_read_header(connection->stream, connection->buffer,
+                                   parser, Await(&error));
+  std::string pending;
+  std::array<char, kWatchChunkBytes> chunk{};
+  while (!error && !parser.is_done()) {
+    parser.get().body().data = chunk.data();
+    parser.get().body().size = chunk.size();
+    connection->stream.expires_after(idle_limit);
+    co_await http::async_read_some(connection->stream, connection->buffer,
+                                   parser, Await(&error));
+    if (error == http::error::need_buffer) error = {};
+    pending.append(chunk.data(), chunk.size() - parser.get().body().size);
+    if (pending.size() > kMaxAnswerBytes) break;
+    for (const std::string& line : TakeLines(&pending)) {
+      const auto changes = DecodeWatchLine(line, connection->address);
+      if (!changes.ok()) {
+        watching_ = nullptr;
+        co_return changes.status();
+      }
+      hook(*changes);
+    }
+  }
+  co_return failed(error);
+}
+
+void StoreClient::CancelWatch() {
+  if (watching_ != nullptr) watching_->stream.cancel();
+}
+
+asio::awaitable<absl::StatusOr<std::string>> StoreClient::Call(
+    std::string path, std::string body) {
+  std::unique_ptr<Connection> connection;
+  if (!idle_.empty()) {
+    connection = std::move(idle_.back());
+    idle_.pop_back();
+  } else {
+    auto connected = co_await Connect();
+    if (!connected.ok()) co_return connected.status();
+    connection = *std::move(connected);
+  }
+  connection->stream.expires_after(options_.call_timeout);
+  ErrorCode error;
+  const auto request =
+      MakeRequest(path, connection->address, std::move(body));
+  co_await http::async_write(connection->stream, request, Await(&error));
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kMaxAnswerBytes);
+  if (!error) {
+    co_await http::async_read(connection->stream, connection->buffer, parser,
+                              Await(&error));
+  }
+  if (error) {
+    idle_.clear();  // the others are likely as dead as this one
+    ++current_;
+    co_return StepError(absl::StatusCode::kUnknown, Step::kStoreCall,
+                        connection->address, error.message());
+  }
+  const std::string address = connection->address;
+  if (parser.get().keep_alive() && idle_.size() < kMaxIdleConnections) {
+    idle_.push_back(std::move(connection));
+  }
+  if (parser.get().result() != http::status::ok) {
+    co_return StepError(absl::StatusCode::kUnknown, Step::kStoreCall, address,
+                        parser.get().body());
+  }
+  co_return std::move(parser.get().body());
+}
+
+asio::awaitable<absl::StatusOr<std::unique_ptr<StoreClient::Connection>>>
+StoreClient::Connect() {
+  const auto executor = co_await asio::this_coro::executor;
+  auto connection = std::make_unique<Connection>(executor);
+  connection->address = CurrentAddress();
+  const auto endpoint = ParseEndpoint(connection->address);
+  if (!endpoint) {
+    co_return StepError(absl::StatusCode::kUnavailable, Step::kStoreConnect,
+                        connection->address, "no store address");
+  }
+  connection->stream.expires_after(options_.call_timeout);
+  ErrorCode error;
+  co_await connection->stream.async_connect(*endpoint, Await(&error));
+  if (error) {
+    ++current_;
+    co_return StepError(absl::StatusCode::kUnavailable, Step::kStoreConnect,
+                        connection->address, error.message());
+  }
+  co_return connection;
+}
+
+std::string StoreClient::CurrentAddress() const {
+  if (options_.addresses.empty()) return "";
+  return options_.addresses[current_ % options_.addresses.size()];
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/modules/gg_store/store_codec.h
@@ -0,0 +1,43 @@
+#ifndef GG_STORE_STORE_CODEC_H_
+#define GG_STORE_STORE_CODEC_H_
+
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <string_view>
+
+#include "absl/status/statusor.h"
+#include "gg_store/store_types.h"
+
+namespace greengage {
+
+/** Returns `data` in base 64, as the protocol carries keys and values. */
+std::string Base64Encode(std::string_view data);
+
+/** Decodes base 64; "" when the text is broken. */
+std::string Base64Decode(std::string_view text);
+
+/** Returns the end of the range of all keys that start with `prefix`. */
+std::string PrefixEnd(std::string prefix);
+
+/** Requests, as JSON text. */
+std::string EncodeRange(std::string_view key, std::string_view range_end);
+std::string EncodeSwap(const StoreSwap& swap);
+std::string EncodeWatch(std::string_view prefix, uint64_t start_revision);
+std::string EncodeLeaseGrant(int64_t ttl_seconds);
+
+/** Answers; kDataLoss when the text does not follow the protocol.
+    @param peer  address of the store, for the error. */
+absl::StatusOr<StoreRead> DecodeRange(const std::string& text,
+                                      std::string_view peer);
+absl::StatusOr<StoreSwapResult> DecodeSwap(const std::string& text,
+                                           std::string_view peer);
+absl::StatusOr<int64_t> DecodeLeaseGrant(const std::string& text,
+                                         std::string_view peer);
+
+/** Decodes one line of a watch stream. A line without puts gives no entries. */
+absl::StatusOr<StoreRead> DecodeWatchLine(const std::string& text,
+                                          std::string_view peer);
+
+}  // namespace greengage
+
+#endif  // GG_STORE_STORE_CODEC_H_
--- /dev/null
+++ b/tests/standins/caller_standin.cc
@@ -0,0 +1,408 @@
+// Stand-in for callers: looks entry hosts up, caches the answer for its time to
+// live, sends a mix of requests and checks that each answer is whole and its own.
+// Orders carry issued keys and are repeated with the same key while their outcome
+// is unknown. Prints one JSON object at the end.
+//
+// With --direct it sends to that address without a look-up, as a baseline.
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "gg_core/random.h"
+#include "gg_http/http_types.h"
+
+namespace greengage::standins {
+namespace {
+
+using nlohmann::json;
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+struct Options {
+  std::vector<std::string> lookup;
+  std::string direct;
+  std::string service;
+  std::string host;
+  std::string bind = "127.0.0.1";
+  std::string upload_path = "/drawings/1";
+  std::string order_path = "/orders";
+  std::string browse_path = "/catalogue";
+  int workers = 4;
+  double seconds = 5;
+  int browse = 90;
+  int orders = 10;
+  int uploads = 0;
+  int64_t upload_bytes = 1'000'000;
+  int64_t answer_bytes = 0;
+  double upload_pause_ms = 0;
+  double think_ms = 0;
+  int work_ms = -1;
+  uint64_t seed = 1;
+  bool lookups_only = false;
+};
+
+struct KindStats {
+  int64_t sent = 0;
+  int64_t whole = 0;
+  int64_t not_run = 0;
+  int64_t unknown = 0;
+  int64_t broken = 0;  // no answer, or a part of one
+  int64_t wrong = 0;   // somebody else's answer
+  std::vector<double> latencies_ms;
+};
+
+/** Result of one exchange. */
+struct Reply {
+  bool ok = false;  // a whole answer arrived
+  int status = 0;
+  std::string outcome;
+  std::string id;
+  std::string body;
+};
+
+class Worker {
+ public:
+  Worker(asio::io_context* context, const Options* options, int number,
+         std::map<std::string, KindStats>* stats)
+      : context_(context),
+        options_(options),
+        number_(number),
+        stats_(stats),
+        random_(options->seed * 1000 + number) {}
+
+  asio::awaitable<void> Run(TimePoint end) {
+    while (Now() < end) {
+      if (options_->lookups_only) {
+        co_await TimeLookup();
+        continue;
+      }
+      const auto pick = static_cast<int>(
+          random_.Below(options_->browse + options_->orders + options_->uploads));
+      if (pick < options_->browse) {
+        co_await Browse();
+      } else if (pick < options_->browse + options_->orders) {
+        co_await Order();
+      } else {
+        co_await Upload();
+      }
+      if (options_->think_ms > 0) {
+        co_await SleepFor(FromSeconds(options_->think_ms / 1000));
+      }
+    }
+  }
+
+ private:
+  struct Connection {
+    explicit Connection(asio::io_context* context) : stream(*context) {}
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    std::string address;
+  };
+
+  std::string NextId() {
+    return std::to_string(options_->seed) + "-" + std::to_string(number_) +
+           "-" + std::to_string(++sequence_);
+  }
+
+  asio::awaitable<bool> Open(std::string address) {
+    if (connection_ && connection_->address == address) co_return true;
+    connection_ = std::make_unique<Connection>(context_);
+    connection_->address = address;
+    const auto endpoint = ParseEndpoint(address);
+    ErrorCode error;
+    auto& socket = connection_->stream.socket();
+    socket.open(asio::ip::tcp::v4(), error);
+    socket.bind({asio::ip::make_address(options_->bind), 0}, error);
+    connection_->stream.expires_after(std::chrono::seconds(2));
+    co_await connection_->stream.async_connect(*endpoint, Await(&error));
+    if (error) connection_.reset();
+    if (!error) socket.set_option(asio::ip::tcp::no_delay(true), error);
+    co_return connection_ != nullptr;
+  }
+
+  /** Sends a request whose body is short, and reads the answer. */
+  asio::awaitable<Reply> Exchange(std::string address,
+                                  http::request<http::string_body> request) {
+    Reply reply;
+    if (!co_await Open(address)) co_return reply;
+    ErrorCode error;
+    connection_->stream.expires_after(std::chrono::seconds(30));
+    co_await http::async_write(connection_->stream, request, Await(&error));
+    if (!error) reply = co_await ReadReply();
+    if (!reply.ok) connection_.reset();
+    co_return reply;
+  }
+
+  asio::awaitable<Reply> ReadReply() {
+    Reply reply;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(boost::none);
+    ErrorCode error;
+    connection_->stream.expires_after(std::chrono::seconds(60));
+    co_await http::async_read(connection_->stream, connection_->buffer, parser,
+                              Await(&error));
+    if (error) co_return reply;
+    reply.ok = true;
+    reply.status = static_cast<int>(parser.get().result_int());
+    reply.outcome = std::string(FromBeast(parser.get()[ToBeast(kOutcomeField)]));
+    reply.id = std::string(FromBeast(parser.get()["X-Request-Id"]));
+    reply.body = std::move(parser.get().body());
+    if (!parser.get().keep_alive()) connection_.reset();
+    co_return reply;
+  }
+
+  http::request<http::string_body> MakeRequest(http::verb method,
+                                               const std::string& path,
+                                               const std::string& id) const {
+    http::request<http::string_body> request(method, path, 11);
+    request.set(http::field::host, options_->host);
+    request.set("X-Request-Id", id);
+    if (options_->work_ms >= 0) {
+      request.set("X-Work-Ms", std::to_string(options_->work_ms));
+    }
+    if (options_->answer_bytes > 0) {
+      request.set("X-Answer-Bytes", std::to_string(options_->answer_bytes));
+    }
+    return request;
+  }
+
+  asio::awaitable<bool> Lookup(bool with_key) {
+    if (!options_->direct.empty()) {
+      hosts_ = {options_->direct};
+      co_return true;
+    }
+    if (!with_key && Now() < lookup_ends_ && !hosts_.empty()) co_return true;
+    for (size_t i = 0; i < options_->lookup.size(); ++i) {
+      const std::string& address =
+          options_->lookup[(number_ + lookup_turn_++) % options_->lookup.size()];
+      auto request = MakeRequest(
+          http::verb::get,
+          "/.greengage/lookup?service=" + options_->service +
+              (with_key ? "&key=1" : ""),
+          "");
+      request.erase("X-Request-Id");
+      const Reply reply = co_await Exchange(address, std::move(request));
+      if (!reply.ok || reply.status != 200) continue;
+      const json answer = json::parse(reply.body, nullptr, false);
+      if (!answer.is_object() || answer["hosts"].empty()) continue;
+      hosts_.clear();
+      for (const json& host : answer["hosts"]) {
+        hosts_.push_back(host.at("address").get<std::string>());
+      }
+      key_ = answer.value("key", "");
+      key_host_ = answer.value("key_host", "");
+      lookup_ends_ =
+          Now() + std::chrono::milliseconds(answer.value("ttl_ms", 0));
+      co_return true;
+    }
+    co_return false;
+  }
+
+  asio::awaitable<void> TimeLookup() {
+    KindStats& stats = (*stats_)["lookup"];
+    const TimePoint start = Now();
+    ++stats.sent;
+    auto request = MakeRequest(
+        http::verb::get, "/.greengage/lookup?service=" + options_->service, "");
+    const Reply reply =
+        co_await Exchange(options_->lookup[0], std::move(request));
+    Count(&stats, reply, "", start);
+  }
+
+  void Count(KindStats* stats, const Reply& reply, const std::string& id,
+             TimePoint start) {
+    if (!reply.ok) {
+      ++stats->broken;
+    } else if (reply.status == 200) {
+      const bool is_own = reply.id == id;
+      ++(is_own ? stats->whole : stats->wrong);
+      stats->latencies_ms.push_back(ToSeconds(Now() - start) * 1000);
+    } else if (reply.outcome == "not-run") {
+      ++stats->not_run;
+    } else {
+      ++stats->unknown;
+    }
+  }
+
+  asio::awaitable<void> Browse() {
+    KindStats& stats = (*stats_)["browse"];
+    if (!co_await Lookup(false)) co_return;
+    const TimePoint start = Now();
+    const std::string id = NextId();
+    ++stats.sent;
+    Reply reply;
+    for (size_t i = 0; i < hosts_.size() && !reply.ok; ++i) {
+      auto request = MakeRequest(http::verb::get, options_->browse_path, id);
+      reply = co_await Exchange(hosts_[i], std::move(request));
+    }
+    Count(&stats, reply, id, start);
+  }
+
+  asio::awaitable<void> Order() {
+    KindStats& stats = (*stats_)["order"];
+    if (!co_await Lookup(true) || (key_.empty() && options_->direct.empty())) {
+      co_return;
+    }
+    const TimePoint start = Now();
+    const std::string id = NextId();
+    ++stats.sent;
+    Reply reply;
+    const std::string key = key_;
+    std::vector<std::string> hosts = {
+        options_->direct.empty() ? key_host_ : options_->direct};
+    hosts.insert(hosts.end(), hosts_.begin(), hosts_.end());
+    for (const std::string& host : hosts) {
+      auto request = MakeRequest(http::verb::post, options_->order_path, id);
+      request.set(ToBeast(kOrderKeyField), key);
+      request.set("X-Order-Id", id);
+      request.body() = "{\"order\":\"" + id + "\"}";
+      request.prepare_payload();
+      reply = co_await Exchange(host, std::move(request));
+      const bool is_settled =
+          reply.ok && (reply.status == 200 || reply.outcome == "not-run");
+      if (is_settled) break;
+    }
+    if (reply.ok && reply.id.empty()) reply.id = IdOf(reply.body);
+    Count(&stats, reply, id, start);
+  }
+
+  /** A repeated answer carries the body only. */
+  static std::string IdOf(const std::string& body) {
+    const json answer = json::parse(body, nullptr, false);
+    return answer.is_object() ? answer.value("id", "") : "";
+  }
+
+  asio::awaitable<void> Upload() {
+    KindStats& stats = (*stats_)["upload"];
+    if (!co_await Lookup(false)) co_return;
+    const TimePoint start = Now();
+    const std::string id = NextId();
+    ++stats.sent;
+    connection_.reset();
+    Reply reply;
+    if (co_await Open(hosts_[0])) reply = co_await SendUpload(id);
+    connection_.reset();
+    const json answer = json::parse(reply.body, nullptr, false);
+    const bool is_whole = answer.is_object() &&
+                          answer.value("length", int64_t{-1}) ==
+                              options_->upload_bytes;
+    if (reply.ok && reply.status == 200 && !is_whole) reply.id = "cut";
+    Count(&stats, reply, id, start);
+  }
+
+  asio::awaitable<Reply> SendUpload(std::string id) {
+    http::request<http::buffer_body> request(http::verb::put,
+                                             options_->upload_path, 11);
+    request.set(http::field::host, options_->host);
+    request.set("X-Request-Id", id);
+    request.content_length(options_->upload_bytes);
+    http::request_serializer<http::buffer_body> serializer(request);
+    const std::string chunk(kBodyChunkBytes, 'd');
+    ErrorCode error;
+    int64_t left = options_->upload_bytes;
+    while (left > 0 && !error) {
+      const int64_t size =
+          std::min(left, static_cast<int64_t>(chunk.size()));
+      request.body().data = const_cast<char*>(chunk.data());
+      request.body().size = size;
+      request.body().more = left > size;
+      connection_->stream.expires_after(std::chrono::seconds(60));
+      co_await http::async_write(connection_->stream, serializer,
+                                 Await(&error));
+      if (error == http::error::need_buffer) error = {};
+      left -= size;
+      if (options_->upload_pause_ms > 0) {
+        co_await SleepFor(FromSeconds(options_->upload_pause_ms / 1000));
+      }
+    }
+    // A refusal may come before the whole body has gone.
+    co_return co_await ReadReply();
+  }
+
+  asio::io_context* context_;
+  const Options* options_;
+  int number_;
+  std::map<std::string, KindStats>* stats_;
+  Random random_;
+  std::unique_ptr<Connection> connection_;
+  std::vector<std::string> hosts_;
+  std::string key_;
+  std::string key_host_;
+  TimePoint lookup_ends_{};
+  size_t lookup_turn_ = 0;
+  int64_t sequence_ = 0;
+};
+
+double Percentile(std::vector<double>* values, double part) {
+  if (values->empty()) return 0;
+  std::sort(values->begin(), values->end());
+  const auto index =
+      static_cast<size_t>(part * static_cast<double>(values->size() - 1));
+  return (*values)[index];
+}
+
+json Summary(std::map<std::string, KindStats>* stats, double seconds) {
+  json kinds = json::object();
+  for (auto& [kind, row] : *stats) {
+    kinds[kind] = {{"sent", row.sent},
+                   {"whole", row.whole},
+                   {"not_run", row.not_run},
+                   {"unknown", row.unknown},
+                   {"broken", row.broken},
+                   {"wrong", row.wrong},
+                   {"per_second", static_cast<double>(row.whole) / seconds},
+                   {"p50_ms", Percentile(&row.latencies_ms, 0.5)},
+                   {"p99_ms", Percentile(&row.latencies_ms, 0.99)}};
+  }
+  return kinds;
+}
+
+void AddFlags(CLI::App* app, Options* options) {
+  app->add_option("--lookup", options->lookup)->delimiter(',');
+  app->add_option("--direct", options->direct);
+  app->add_option("--service", options->service);
+  app->add_option("--host", options->host);
+  app->add_option("--bind", options->bind, "Own address");
+  app->add_option("--browse-path", options->browse_path);
+  app->add_option("--order-path", options->order_path);
+  app->add_option("--upload-path", options->upload_path);
+  app->add_option("--workers", options->workers);
+  app->add_option("--seconds", options->seconds);
+  app->add_option("--browse", options->browse, "Part of browsing in the mix");
+  app->add_option("--orders", options->orders);
+  app->add_option("--uploads", options->uploads);
+  app->add_option("--upload-bytes", options->upload_bytes);
+  app->add_option("--upload-pause-ms", options->upload_pause_ms);
+  app->add_option("--answer-bytes", options->answer_bytes);
+  app->add_option("--think-ms", options->think_ms);
+  app->add_option("--work-ms", options->work_ms);
+  app->add_option("--seed", options->seed);
+  app->add_flag("--lookups-only", options->lookups_only);
+}
+
+}  // namespace
+}  // namespace greengage::standins
+
+int main(int argc, char** argv) {
+  using greengage::standins::Worker;
+  greengage::standins::Options options;
+  CLI::App app("Stand-in for callers");
+  greengage::standins::AddFlags(&app, &options);
+  CLI11_PARSE(app, argc, argv);
+  greengage::asio::io_context context{1};
+  std::map<std::string, greengage::standins::KindStats> stats;
+  std::vector<std::unique_ptr<Worker>> workers;
+  const auto end = std::chrono::steady_clock::now() +
+                   greengage::FromSeconds(options.seconds);
+  for (int i = 0; i < options.workers; ++i) {
+    workers.push_back(std::make_unique<Worker>(&context, &options, i, &stats));
+    greengage::asio::co_spawn(context, workers.back()->Run(end),
+                              greengage::asio::detached);
+  }
+  context.run();
+  std::cout << greengage::standins::Summary(&stats, options.seconds).dump()
+            << "\n";
+}
--- /dev/null
+++ b/tests/standins/http_server.cc
@@ -0,0 +1,89 @@
+#include "standins/http_server.h"
+
+#include <iostream>
+
+namespace greengage::standins {
+namespace {
+
+asio::awaitable<void> Serve(asio::ip::tcp::socket socket, Handler handler) {
+  ErrorCode error;
+  socket.set_option(asio::ip::tcp::no_delay(true), error);
+  Peer peer(std::move(socket));
+  for (;;) {
+    RequestParser request;
+    request.body_limit(boost::none);
+    co_await http::async_read_header(peer.stream, peer.buffer, request,
+                                     Await(&error));
+    if (error) co_return;
+    if (!co_await handler(&peer, &request)) co_return;
+  }
+}
+
+asio::awaitable<void> Accept(
+    asio::io_context* context,
+    std::shared_ptr<asio::ip::tcp::acceptor> acceptor, Handler handler) {
+  for (;;) {
+    asio::ip::tcp::socket socket(*context);
+    ErrorCode error;
+    co_await acceptor->async_accept(socket, Await(&error));
+    if (error) co_return;
+    asio::co_spawn(*context, Serve(std::move(socket), handler),
+                   asio::detached);
+  }
+}
+
+}  // namespace
+
+void Listen(asio::io_context* context, const std::string& address,
+            Handler handler) {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) {
+    std::cerr << "'" << address << "' is no address\n";
+    std::exit(2);
+  }
+  try {
+    auto acceptor =
+        std::make_shared<asio::ip::tcp::acceptor>(*context, *endpoint);
+    asio::co_spawn(*context, Accept(context, acceptor, std::move(handler)),
+                   asio::detached);
+  } catch (const std::exception& error) {
+    std::cerr << address << ": " << error.what() << "\n";
+    std::exit(1);
+  }
+}
+
+asio::awaitable<bool> ReadBody(Peer* peer, RequestParser* request,
+                               std::string* body) {
+  std::string chunk(kBodyChunkBytes, '\0');
+  while (!request->is_done()) {
+    request->get().body().data = chunk.data();
+    request->get().body().size = chunk.size();
+    ErrorCode error;
+    co_await http::async_read_some(peer->stream, peer->buffer, *request,
+                                   Await(&error));
+    if (error == http::error::need_buffer) error = {};
+    if (error) co_return false;
+    body->append(chunk.data(), chunk.size() - request->get().body().size);
+  }
+  co_return true;
+}
+
+asio::awaitable<bool> Send(Peer* peer, const RequestParser& request,
+                           http::response<http::string_body> answer) {
+  answer.keep_alive(request.get().keep_alive());
+  answer.prepare_payload();
+  if (request.get().method() == http::verb::head) answer.body().clear();
+  ErrorCode error;
+  co_await http::async_write(peer->stream, answer, Await(&error));
+  co_return !error && answer.keep_alive();
+}
+
+asio::awaitable<bool> SendJson(Peer* peer, const RequestParser& request,
+                               std::string text) {
+  http::response<http::string_body> answer(http::status::ok, 11);
+  answer.set(http::field::content_type, "application/json");
+  answer.body() = std::move(text);
+  co_return co_await Send(peer, request, std::move(answer));
+}
+
+}  // namespace greengage::standins
--- /dev/null
+++ b/tests/standins/store_standin.cc
@@ -0,0 +1,254 @@
+// Stand-in for the platform's key-value service: the JSON form of the etcd v3
+// protocol over one in-memory map. Faults are set by POST /control/NAME?value=N:
+//   down=1|0   every call and watch fails at once
+//   delay=MS   each answer comes this much later
+//   lose=N     the next N transactions take effect, and their answers are lost
+//   stale=1|0  reads answer from the state at the time this was set
+// GET /control/stats counts calls.
+
+#include <CLI/CLI.hpp>
+#include <iostream>
+#include <list>
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "gg_http/lookup_handler.h"
+#include "gg_store/store_codec.h"
+#include "standins/http_server.h"
+
+namespace greengage::standins {
+namespace {
+
+using nlohmann::json;
+
+struct Value {
+  std::string data;
+  uint64_t create_revision = 0;
+  uint64_t mod_revision = 0;
+  uint64_t version = 0;
+};
+
+struct Change {
+  std::string key;
+  Value value;
+};
+
+struct Watcher {
+  std::string key;
+  std::string end;
+  std::vector<Change> pending;
+  asio::steady_timer* wake = nullptr;
+};
+
+class Store {
+ public:
+  explicit Store(asio::io_context* context) : context_(context) {}
+
+  asio::awaitable<bool> Handle(Peer* peer, RequestParser* request) {
+    const std::string target(FromBeast(request->get().target()));
+    std::string body;
+    if (!co_await ReadBody(peer, request, &body)) co_return false;
+    if (target.rfind("/control/", 0) == 0) {
+      co_return co_await Control(peer, request, target);
+    }
+    ++calls_[target];
+    if (down_) co_return false;
+    if (delay_ > Duration::zero()) co_await SleepFor(delay_);
+    const json call = json::parse(body, nullptr, false);
+    if (!call.is_object()) co_return false;
+    if (target == "/v3/kv/range") {
+      co_return co_await SendJson(peer, *request, Range(call).dump());
+    }
+    if (target == "/v3/kv/txn") {
+      const std::string answer = Transact(call).dump();
+      if (lose_ > 0) {
+        --lose_;
+        co_return false;
+      }
+      co_return co_await SendJson(peer, *request, answer);
+    }
+    if (target == "/v3/lease/grant") {
+      const json answer{{"header", Header()},
+                        {"ID", std::to_string(++last_lease_)},
+                        {"TTL", call.value("TTL", "0")}};
+      co_return co_await SendJson(peer, *request, answer.dump());
+    }
+    if (target == "/v3/watch") {
+      co_return co_await Watch(peer, call.at("create_request"));
+    }
+    co_return false;
+  }
+
+ private:
+  json Header() const { return {{"revision", std::to_string(revision_)}}; }
+
+  static json Entry(const std::string& key, const Value& value) {
+    return {{"key", Base64Encode(key)},
+            {"value", Base64Encode(value.data)},
+            {"create_revision", std::to_string(value.create_revision)},
+            {"mod_revision", std::to_string(value.mod_revision)},
+            {"version", std::to_string(value.version)}};
+  }
+
+  static bool Covers(const std::string& key, const std::string& begin,
+                     const std::string& end) {
+    return end.empty() ? key == begin : key >= begin && key < end;
+  }
+
+  json Range(const json& call) const {
+    const std::string key = Base64Decode(call.value("key", ""));
+    const std::string end = Base64Decode(call.value("range_end", ""));
+    json kvs = json::array();
+    for (const auto& [name, value] : stale_ ? stale_values_ : values_) {
+      if (Covers(name, key, end)) kvs.push_back(Entry(name, value));
+    }
+    const std::string count = std::to_string(kvs.size());
+    return {{"header", Header()}, {"kvs", kvs}, {"count", count}};
+  }
+
+  bool Holds(const json& compare) const {
+    const std::string key = Base64Decode(compare.value("key", ""));
+    const auto found = values_.find(key);
+    const uint64_t revision =
+        found == values_.end() ? 0 : found->second.mod_revision;
+    return std::to_string(revision) == compare.value("mod_revision", "0");
+  }
+
+  json Transact(const json& call) {
+    bool holds = true;
+    for (const json& compare : call.value("compare", json::array())) {
+      holds = holds && Holds(compare);
+    }
+    json responses = json::array();
+    const char* branch = holds ? "success" : "failure";
+    bool has_put = false;
+    for (const json& operation : call.value(branch, json::array())) {
+      if (operation.contains("request_range")) {
+        responses.push_back(
+            {{"response_range", Range(operation["request_range"])}});
+        continue;
+      }
+      if (!has_put) ++revision_;
+      has_put = true;
+      Put(operation.at("request_put"));
+      responses.push_back({{"response_put", {{"header", Header()}}}});
+    }
+    return {{"header", Header()},
+            {"succeeded", holds},
+            {"responses", responses}};
+  }
+
+  void Put(const json& put) {
+    const std::string key = Base64Decode(put.value("key", ""));
+    Value& value = values_[key];
+    value.data = Base64Decode(put.value("value", ""));
+    if (value.create_revision == 0) value.create_revision = revision_;
+    value.mod_revision = revision_;
+    ++value.version;
+    history_.push_back({key, value});
+    for (Watcher* watcher : watchers_) {
+      if (!Covers(key, watcher->key, watcher->end)) continue;
+      watcher->pending.push_back({key, value});
+      watcher->wake->cancel();
+    }
+  }
+
+  std::string WatchLine(const std::vector<Change>& changes) const {
+    json events = json::array();
+    for (const Change& change : changes) {
+      events.push_back({{"type", "PUT"}, {"kv", Entry(change.key, change.value)}});
+    }
+    return json{{"result", {{"header", Header()}, {"events", events}}}}.dump() +
+           "\n";
+  }
+
+  asio::awaitable<bool> Watch(Peer* peer, json create) {
+    static constexpr Duration kKeepAlive = std::chrono::seconds(5);
+    asio::steady_timer wake(*context_);
+    Watcher watcher;
+    watcher.key = Base64Decode(create.value("key", ""));
+    watcher.end = Base64Decode(create.value("range_end", ""));
+    watcher.wake = &wake;
+    const uint64_t start = std::stoull(create.value("start_revision", "0"));
+    for (const Change& change : history_) {
+      if (change.value.mod_revision < start) continue;
+      if (Covers(change.key, watcher.key, watcher.end)) {
+        watcher.pending.push_back(change);
+      }
+    }
+    watchers_.push_back(&watcher);
+    const auto entry = std::prev(watchers_.end());
+    http::response<http::empty_body> header(http::status::ok, 11);
+    header.chunked(true);
+    http::response_serializer<http::empty_body> serializer(header);
+    ErrorCode error;
+    co_await http::async_write_header(peer->stream, serializer, Await(&error));
+    while (!error && !down_) {
+      // A line without events is sent as a sign of life.
+      std::string line = WatchLine(std::exchange(watcher.pending, {}));
+      co_await asio::async_write(peer->stream,
+                                 http::make_chunk(asio::buffer(line)),
+                                 Await(&error));
+      if (error || !watcher.pending.empty()) continue;
+      wake.expires_after(kKeepAlive);
+      ErrorCode woken;
+      co_await wake.async_wait(Await(&woken));
+    }
+    watchers_.erase(entry);
+    co_return false;
+  }
+
+  asio::awaitable<bool> Control(Peer* peer, RequestParser* request,
+                                std::string target) {
+    std::map<std::string, std::string> query = ParseQuery(target);
+    const std::string name =
+        target.substr(9, target.find('?') == std::string::npos
+                             ? std::string::npos
+                             : target.find('?') - 9);
+    const int value = std::atoi(query["value"].c_str());
+    if (name == "down") {
+      down_ = value != 0;
+      for (Watcher* watcher : watchers_) watcher->wake->cancel();
+    } else if (name == "delay") {
+      delay_ = std::chrono::milliseconds(value);
+    } else if (name == "lose") {
+      lose_ = value;
+    } else if (name == "stale") {
+      stale_ = value != 0;
+      stale_values_ = values_;
+    }
+    const json stats{{"calls", calls_}, {"revision", revision_}};
+    co_return co_await SendJson(peer, *request, stats.dump());
+  }
+
+  asio::io_context* context_;
+  std::map<std::string, Value> values_;
+  std::map<std::string, Value> stale_values_;
+  std::vector<Change> history_;
+  std::list<Watcher*> watchers_;
+  std::map<std::string, int64_t> calls_;
+  uint64_t revision_ = 1;
+  int64_t last_lease_ = 0;
+  bool down_ = false;
+  bool stale_ = false;
+  int lose_ = 0;
+  Duration delay_{};
+};
+
+}  // namespace
+}  // namespace greengage::standins
+
+int main(int argc, char** argv) {
+  CLI::App app("Stand-in for the key-value service");
+  std::string address;
+  app.add_option("--listen", address, "ip:port")->required();
+  CLI11_PARSE(app, argc, argv);
+  greengage::asio::io_context context{1};
+  greengage::standins::Store store(&context);
+  greengage::standins::Listen(
+      &context, address,
+      [&](greengage::standins::Peer* peer, greengage::RequestParser* request) {
+        return store.Handle(peer, request);
+      });
+  context.run();
+}
