--- a/apps/greengaged.cc
+++ b/apps/greengaged.cc
@@ -5,11 +5,10 @@
 #include "gg_insight/event_log.h"
 
 int main(int argc, char** argv) {
-  const greengage::SettingsResult result =
-      greengage::ParseSettings(argc, argv);
+  const greengage::SettingsResult result = greengage::ParseSettings(argc, argv);
   if (result.should_exit) return result.exit_code;
-  greengage::InitLogging(
-      *greengage::ParseLogLevel(result.settings.log_level), "greengaged");
+  greengage::InitLogging(*greengage::ParseLogLevel(result.settings.log_level),
+                         "greengaged");
   greengage::Daemon daemon(result.settings);
   const absl::Status status = daemon.Run();
   if (status.ok()) return 0;
--- a/modules/gg_core/errors.cc
+++ b/modules/gg_core/errors.cc
@@ -20,8 +20,8 @@
                        std::string_view what) {
   const std::string_view name = kStepNames.Name(step);
   absl::Status status(
-      code, absl::StrCat("step=", std::string(name), " peer=",
-                         std::string(peer), ": ", std::string(what)));
+      code, absl::StrCat("step=", std::string(name),
+                         " peer=", std::string(peer), ": ", std::string(what)));
   status.SetPayload({kStepPayload.data(), kStepPayload.size()},
                     absl::Cord(std::string(name)));
   status.SetPayload({kPeerPayload.data(), kPeerPayload.size()},
--- a/modules/gg_core/event.cc
+++ b/modules/gg_core/event.cc
@@ -26,7 +26,7 @@
       {Event::kListening, "listening"},
       {Event::kDocumentAccepted, "document_accepted"},
       {Event::kDocumentRefused, "document_refused"},
-      {Event::kDocumentRestored, "document_restored"},
+      {Event::kSharedValueRefused, "shared_value_refused"},
       {Event::kMemberJoined, "member_joined"},
       {Event::kMemberSuspected, "member_suspected"},
       {Event::kMemberRecovered, "member_recovered"},
--- a/modules/gg_core/event.h
+++ b/modules/gg_core/event.h
@@ -21,7 +21,7 @@
   kListening = 105,
   kDocumentAccepted = 200,
   kDocumentRefused = 201,
-  kDocumentRestored = 202,
+  kSharedValueRefused = 203,
   kMemberJoined = 300,
   kMemberSuspected = 301,
   kMemberRecovered = 302,
--- a/modules/gg_ctl/ctl_app.cc
+++ b/modules/gg_ctl/ctl_app.cc
@@ -127,9 +127,12 @@
 }
 
 json EntryJson(const AuditEntry& entry) {
-  return {{"edit", entry.edit_id},    {"who", entry.who},
-          {"section", entry.section}, {"reason", entry.reason},
-          {"time", entry.time},       {"revision", entry.revision},
+  return {{"edit", entry.edit_id},
+          {"who", entry.who},
+          {"section", entry.section},
+          {"reason", entry.reason},
+          {"time", entry.time},
+          {"revision", entry.revision},
           {"diff", LineDiff(entry.old_text, entry.new_text)}};
 }
 
@@ -220,8 +223,8 @@
     return Report(StepError(absl::StatusCode::kNotFound, Step::kDocumentCheck,
                             options.service, "no such section"));
   }
-  const absl::StatusOr<std::string> text = SetTargetLeaving(
-      section->text, options.service, options.target, leaving);
+  const absl::StatusOr<std::string> text =
+      SetTargetLeaving(section->text, options.service, options.target, leaving);
   if (!text.ok()) return Report(text.status());
   const SectionEdit edit{.section = options.service,
                          .text = *text,
@@ -256,16 +259,16 @@
     std::cout << std::left << std::setw(22) << "daemon" << std::setw(10)
               << "zone" << std::setw(9) << "state" << std::setw(7) << "ready"
               << std::setw(7) << "store" << std::setw(10) << "revision"
-              << std::setw(9) << "members" << "slices\n";
+              << std::setw(9) << "members"
+              << "slices\n";
   }
   for (const std::string& daemon : options.daemons) {
     const absl::StatusOr<std::string> text =
         HttpGet(daemon, "/.greengage/status", kDaemonTimeout);
-    const json status =
-        text.ok() ? json::parse(*text, nullptr, false) : json();
+    const json status = text.ok() ? json::parse(*text, nullptr, false) : json();
     if (!status.is_object() || !status.contains("self")) {
-      std::cout << std::setw(22) << daemon << "no answer: "
-                << text.status().message() << "\n";
+      std::cout << std::setw(22) << daemon
+                << "no answer: " << text.status().message() << "\n";
       exit = CtlExit::kUnreachable;
       continue;
     }
@@ -300,9 +303,10 @@
       continue;
     }
     std::cout << "client " << options.client << " is near to region "
-              << answer.value("home_region", "?") << "\nentry hosts, best first: "
-              << answer["entry_hosts"].dump() << "\nsplit of the document: "
-              << answer["document_split"].dump() << "\nsplit in force here:   "
+              << answer.value("home_region", "?")
+              << "\nentry hosts, best first: " << answer["entry_hosts"].dump()
+              << "\nsplit of the document: " << answer["document_split"].dump()
+              << "\nsplit in force here:   "
               << answer.value("split_in_force", json::object()).dump() << "\n";
     for (const auto& [region, usage] : answer["regions"].items()) {
       std::cout << "region " << region << ": " << usage.dump() << "\n";
@@ -332,8 +336,8 @@
   CLI::App* check = add("check", "Check a document in a file",
                         [=] { return Check(*options); });
   check->add_option("file", options->file)->required();
-  CLI::App* init = add("init", "Write the first document",
-                       [=] { return Init(*options); });
+  CLI::App* init =
+      add("init", "Write the first document", [=] { return Init(*options); });
   init->add_option("file", options->file)->required();
   init->add_option("--who", options->who)->required()->envname("GREENGAGE_WHO");
   CLI::App* show = add("show", "Show the document or one section",
@@ -359,8 +363,8 @@
     command->add_option("target", options->target)->required();
     AddEditOptions(command, options);
   }
-  CLI::App* audit = add("audit", "List accepted edits",
-                        [=] { return Audit(*options); });
+  CLI::App* audit =
+      add("audit", "List accepted edits", [=] { return Audit(*options); });
   audit->add_option("section", options->section);
   CLI::App* status = add("status", "Show the state of daemons",
                          [=] { return Status(*options); });
@@ -370,8 +374,9 @@
   explain->add_option("service", options->service)->required();
   explain->add_option("client", options->client)->required();
   for (CLI::App* command : {status, explain}) {
-    command->add_option("--daemons", options->daemons,
-                        "Operators' addresses of daemons, comma-separated")
+    command
+        ->add_option("--daemons", options->daemons,
+                     "Operators' addresses of daemons, comma-separated")
         ->delimiter(',')
         ->required()
         ->envname("GREENGAGE_DAEMONS");
--- a/modules/gg_ctl/document_editor.cc
+++ b/modules/gg_ctl/document_editor.cc
@@ -14,7 +14,7 @@
 using nlohmann::json;
 
 std::string EntryToJson(const AuditEntry& entry) {
-  return json{{"edit", entry.edit_id},   {"who", entry.who},
+  return json{{"edit", entry.edit_id},    {"who", entry.who},
               {"section", entry.section}, {"reason", entry.reason},
               {"time", entry.time},       {"old", entry.old_text},
               {"new", entry.new_text}}
@@ -75,11 +75,11 @@
   const absl::StatusOr<DocumentPtr> parsed = ParseDocument(text);
   if (!parsed.ok()) return parsed.status();
   if ((*parsed)->deployment != options_.deployment) {
-    return StepError(absl::StatusCode::kInvalidArgument, Step::kDocumentCheck,
-                     "platform",
-                     absl::StrCat("the document is of deployment '",
-                                  (*parsed)->deployment, "'; name it with "
-                                  "--deployment"));
+    return StepError(
+        absl::StatusCode::kInvalidArgument, Step::kDocumentCheck, "platform",
+        absl::StrCat("the document is of deployment '", (*parsed)->deployment,
+                     "'; name it with "
+                     "--deployment"));
   }
   AuditEntry entry{.edit_id = options_.new_edit_id(),
                    .who = who,
--- a/modules/gg_ctl/document_editor.h
+++ b/modules/gg_ctl/document_editor.h
@@ -44,16 +44,17 @@
 /** Blocking calls on the store that the editor needs. */
 struct EditorStore {
   std::function<absl::StatusOr<StoreRead>(const std::string& key)> get;
-  std::function<absl::StatusOr<StoreRead>(const std::string& prefix)> get_prefix;
+  std::function<absl::StatusOr<StoreRead>(const std::string& prefix)>
+      get_prefix;
   std::function<absl::StatusOr<StoreSwapResult>(const StoreSwap& swap)> swap;
 };
 
 /** Edits the document by compare-and-swap, one section at a time.
 
-    Edits of other sections that come in between are kept: the edit is made again
-    on top of them. The document and the audit entry are written in one swap, and
-    the entry's key is the edit's own identity, by which an edit whose answer was
-    lost is found again. */
+    Edits of other sections that come in between are kept: the edit is made
+   again on top of them. The document and the audit entry are written in one
+   swap, and the entry's key is the edit's own identity, by which an edit whose
+   answer was lost is found again. */
 class DocumentEditor {
  public:
   struct Options {
--- a/modules/gg_ctl/http_get.cc
+++ b/modules/gg_ctl/http_get.cc
@@ -1,13 +1,12 @@
 #include "gg_ctl/http_get.h"
 
-#include "gg_store/asio.h"
-
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
 #include "absl/strings/str_cat.h"
 #include "gg_core/errors.h"
+#include "gg_store/asio.h"
 
 namespace greengage {
 namespace {
@@ -35,8 +34,7 @@
 }  // namespace
 
 absl::StatusOr<std::string> HttpGet(const std::string& address,
-                                    const std::string& path,
-                                    Duration timeout) {
+                                    const std::string& path, Duration timeout) {
   const auto failed = [&](const std::string& what) {
     return StepError(absl::StatusCode::kUnavailable, Step::kPeerConnect,
                      address, what);
@@ -51,8 +49,8 @@
   context.run();
   if (error) return failed(error.message());
   if (answer.result() != http::status::ok) {
-    return failed(absl::StrCat("status ", answer.result_int(), ": ",
-                               answer.body()));
+    return failed(
+        absl::StrCat("status ", answer.result_int(), ": ", answer.body()));
   }
   return answer.body();
 }
--- a/modules/gg_ctl/target_edit.cc
+++ b/modules/gg_ctl/target_edit.cc
@@ -23,8 +23,7 @@
         const bool is_name = entry.first.as<std::string>("") == "name" &&
                              entry.second.as<std::string>("") == target;
         if (is_name) {
-          return TargetPlace{item,
-                             static_cast<size_t>(entry.first.Mark().pos)};
+          return TargetPlace{item, static_cast<size_t>(entry.first.Mark().pos)};
         }
       }
     }
@@ -55,8 +54,7 @@
   const bool is_flow = place->item.Style() == YAML::EmitterStyle::Flow;
   const size_t line_start = text.rfind('\n', place->name_key) + 1;
   const std::string separator =
-      is_flow ? ", "
-              : "\n" + std::string(place->name_key - line_start, ' ');
+      is_flow ? ", " : "\n" + std::string(place->name_key - line_start, ' ');
   text.insert(place->name_key, absl::StrCat("leaving: ", value, separator));
   return text;
 }
--- a/modules/gg_ctl/target_edit.h
+++ b/modules/gg_ctl/target_edit.h
@@ -8,8 +8,8 @@
 namespace greengage {
 
 /** Returns the text of a service's section with the target's `leaving` set.
-    Everything else, comments and layout included, stays as it is. kNotFound when
-    the section has no such target. */
+    Everything else, comments and layout included, stays as it is. kNotFound
+   when the section has no such target. */
 absl::StatusOr<std::string> SetTargetLeaving(const std::string& section_text,
                                              const std::string& service,
                                              const std::string& target,
--- a/modules/gg_daemon/control_actor.h
+++ b/modules/gg_daemon/control_actor.h
@@ -15,7 +15,7 @@
   bool is_ready = false;
   bool is_store_available = false;
   bool has_released_all = false;
-  std::string status_json;    // an object
+  std::string status_json;  // an object
   std::string document_text;
 };
 
--- a/modules/gg_daemon/control_message.h
+++ b/modules/gg_daemon/control_message.h
@@ -26,9 +26,9 @@
 struct ReleaseRequest {};
 
 /** Message to the control actor. */
-using ControlMessage = std::variant<PeerFrame, StoreValuesRead,
-                                    StoreAvailability, DrainRequest,
-                                    ReleaseRequest>;
+using ControlMessage =
+    std::variant<PeerFrame, StoreValuesRead, StoreAvailability, DrainRequest,
+                 ReleaseRequest>;
 
 }  // namespace greengage
 
--- a/modules/gg_daemon/daemon.cc
+++ b/modules/gg_daemon/daemon.cc
@@ -1,14 +1,11 @@
 #include "gg_daemon/daemon.h"
 
 #include <atomic>
+#include <boost/asio/signal_set.hpp>
 #include <random>
 #include <set>
 #include <thread>
 
-#include "gg_store/asio.h"
-
-#include <boost/asio/signal_set.hpp>
-
 #include "absl/strings/str_cat.h"
 #include "gg_core/hash.h"
 #include "gg_daemon/control_actor.h"
@@ -18,6 +15,7 @@
 #include "gg_http/traffic_server.h"
 #include "gg_insight/event_log.h"
 #include "gg_insight/metrics.h"
+#include "gg_store/asio.h"
 #include "gg_store/store_client.h"
 #include "gg_store/store_session.h"
 
@@ -73,15 +71,16 @@
         incarnation(WallMicroseconds()),
         started_at(Now()),
         steering(SteeringOptions(settings, incarnation)),
-        mesh(&io, {.deployment = settings.deployment,
-                   .self = {settings.peer, incarnation},
-                   .metrics = &metrics},
+        mesh(&io,
+             {.deployment = settings.deployment,
+              .self = {settings.peer, incarnation},
+              .metrics = &metrics},
              [this](PeerFrame frame) { control->Send(std::move(frame)); }),
         store(&io, {.addresses = settings.store}),
-        session(&io, &store,
-                {.prefix = SharedPrefix(settings.deployment),
-                 .seed = RandomSeed()},
-                SessionHooks()) {
+        session(
+            &io, &store,
+            {.prefix = SharedPrefix(settings.deployment), .seed = RandomSeed()},
+            SessionHooks()) {
     control = std::make_unique<ControlActor>(MakeControlOptions());
     traffic = MakeTrafficServer();
     admin = MakeAdminServer();
@@ -139,8 +138,7 @@
         std::string_view(entry.key).substr(prefix.size()));
     if (!key) return;
     seen_keys.insert(*key);
-    control->Send(
-        StoreValuesRead{{{*key, entry.mod_revision, entry.value}}});
+    control->Send(StoreValuesRead{{{*key, entry.mod_revision, entry.value}}});
   }
 
   /** Tells the control thread which keys do not exist. */
@@ -165,15 +163,14 @@
       control->Send(
           StoreValuesRead{{{write.key, result->revision, write.value}}});
     } else if (result.ok() && result->found) {
-      control->Send(StoreValuesRead{{{write.key, result->found->mod_revision,
-                                      result->found->value}}});
+      control->Send(StoreValuesRead{
+          {{write.key, result->found->mod_revision, result->found->value}}});
     } else if (!result.ok()) {
       // It may have taken effect: read the key again before anything else.
       const auto read = co_await store.Get(swap.key);
       if (!read.ok() || read->entries.empty()) co_return;
-      control->Send(
-          StoreValuesRead{{{write.key, read->entries[0].mod_revision,
-                            read->entries[0].value}}});
+      control->Send(StoreValuesRead{{{write.key, read->entries[0].mod_revision,
+                                      read->entries[0].value}}});
     }
   }
 
@@ -260,8 +257,9 @@
     is_draining = true;
     control->Send(DrainRequest{});
     const Duration lifetime = LookupLifetime();
-    LogEvent(LogLevel::kInfo, Event::kDraining,
-             absl::StrCat("cached look-ups end in ", ToSeconds(lifetime), " s"));
+    LogEvent(
+        LogLevel::kInfo, Event::kDraining,
+        absl::StrCat("cached look-ups end in ", ToSeconds(lifetime), " s"));
     std::this_thread::sleep_for(lifetime);
     traffic->StopAccepting();
     traffic->CloseIdle();
@@ -294,8 +292,8 @@
 Daemon::~Daemon() = default;
 
 absl::Status Daemon::Run() {
-  // Signals are taken over before the first thread starts, so that none ends the
-  // process half built.
+  // Signals are taken over before the first thread starts, so that none ends
+  // the process half built.
   asio::io_context signal_context{1};
   asio::signal_set signals(signal_context, SIGTERM, SIGINT);
   std::atomic<int> received = 0;
@@ -320,8 +318,8 @@
                         settings_.deployment, " zone=", settings_.zone,
                         " incarnation=", parts_->incarnation));
   LogEvent(LogLevel::kInfo, Event::kListening,
-           absl::StrCat("callers=", settings_.listen, " peers=",
-                        settings_.peer, " operators=", settings_.admin));
+           absl::StrCat("callers=", settings_.listen, " peers=", settings_.peer,
+                        " operators=", settings_.admin));
   signal_context.run();
   signal_context.restart();
   std::thread signal_thread([&] { signal_context.run(); });
--- a/modules/gg_daemon/daemon.h
+++ b/modules/gg_daemon/daemon.h
@@ -19,8 +19,9 @@
   Daemon(const Daemon&) = delete;
   Daemon& operator=(const Daemon&) = delete;
 
-  /** Serves until SIGTERM or SIGINT, then drains: no look-up names this host any
-      more, cached look-ups run out, requests in flight end, slices are given up.
+  /** Serves until SIGTERM or SIGINT, then drains: no look-up names this host
+     any more, cached look-ups run out, requests in flight end, slices are given
+     up.
       @return an error when the daemon could not start. */
   absl::Status Run();
 
--- a/modules/gg_daemon/gg_daemon.h
+++ b/modules/gg_daemon/gg_daemon.h
@@ -6,8 +6,8 @@
 
     Purpose: settings, connections between daemons, the control actor, and the
     daemon's life from start to drained stop.
-    Depends on: gg_core, gg_insight, gg_document, gg_steering, gg_wire, gg_store,
-    gg_http.
+    Depends on: gg_core, gg_insight, gg_document, gg_steering, gg_wire,
+   gg_store, gg_http.
 */
 
 #include "gg_daemon/control_actor.h"
--- a/modules/gg_daemon/peer_mesh.cc
+++ b/modules/gg_daemon/peer_mesh.cc
@@ -1,8 +1,8 @@
 #include "gg_daemon/peer_mesh.h"
 
 #include <boost/asio/read.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 #include <deque>
 
 #include "absl/strings/str_cat.h"
@@ -36,7 +36,8 @@
   acceptor_->open(endpoint->protocol(), error);
   acceptor_->set_option(asio::socket_base::reuse_address(true), error);
   acceptor_->bind(*endpoint, error);
-  if (!error) acceptor_->listen(asio::socket_base::max_listen_connections, error);
+  if (!error)
+    acceptor_->listen(asio::socket_base::max_listen_connections, error);
   if (error) {
     return StepError(absl::StatusCode::kUnavailable, Step::kSettings,
                      options_.self.address,
--- a/modules/gg_daemon/peer_mesh.h
+++ b/modules/gg_daemon/peer_mesh.h
@@ -18,8 +18,8 @@
 
 /** Carries frames between daemons over TCP.
 
-    Each daemon sends on connections that it opened and receives on those that it
-    accepted. A message that cannot be delivered soon is dropped: the control
+    Each daemon sends on connections that it opened and receives on those that
+   it accepted. A message that cannot be delivered soon is dropped: the control
     logic repeats what matters. Broken frames, other versions and other
     deployments end the connection they came on.
 
--- a/modules/gg_daemon/settings.cc
+++ b/modules/gg_daemon/settings.cc
@@ -23,8 +23,7 @@
       ->envname("GREENGAGE_REGION");
   app->add_option("--zone", settings->zone, "Availability zone of this host")
       ->envname("GREENGAGE_ZONE");
-  app->add_option("--listen", settings->listen,
-                  "Address for callers, ip:port")
+  app->add_option("--listen", settings->listen, "Address for callers, ip:port")
       ->envname("GREENGAGE_LISTEN");
   app->add_option("--peer", settings->peer,
                   "Address for other daemons, ip:port")
@@ -62,8 +61,8 @@
 
 absl::Status CheckAddress(std::string_view flag, const std::string& value) {
   if (ParseEndpoint(value)) return absl::OkStatus();
-  return Wrong(flag, absl::StrCat("'", value,
-                                  "' is no address; write ip:port"));
+  return Wrong(flag,
+               absl::StrCat("'", value, "' is no address; write ip:port"));
 }
 
 absl::Status CheckAddresses(std::string_view flag,
--- a/modules/gg_daemon/settings.h
+++ b/modules/gg_daemon/settings.h
@@ -34,7 +34,8 @@
 };
 
 /** Reads settings from flags and GREENGAGE_ environment variables and checks
-    them all. Help, version and errors are printed; an error gives exit code 2. */
+    them all. Help, version and errors are printed; an error gives exit code 2.
+ */
 SettingsResult ParseSettings(int argc, const char* const* argv);
 
 /** Returns the first thing wrong with `settings`, with the remedy. */
--- a/modules/gg_document/document.cc
+++ b/modules/gg_document/document.cc
@@ -58,10 +58,9 @@
 
 const LinkSpec* Document::FindLink(std::string_view from,
                                    std::string_view to) const {
-  const auto found =
-      std::find_if(links.begin(), links.end(), [&](const LinkSpec& link) {
-        return link.from == from && link.to == to;
-      });
+  const auto found = std::find_if(
+      links.begin(), links.end(),
+      [&](const LinkSpec& link) { return link.from == from && link.to == to; });
   return found == links.end() ? nullptr : &*found;
 }
 
--- a/modules/gg_document/document.h
+++ b/modules/gg_document/document.h
@@ -51,7 +51,7 @@
   double weight = 1;  // value of one honoured request
   bool idempotent = false;
   bool key_required = false;
-  Duration time_limit{};  // zero: none
+  Duration time_limit{};   // zero: none
   int64_t body_limit = 0;  // bytes
 };
 
--- a/modules/gg_document/document_parser.cc
+++ b/modules/gg_document/document_parser.cc
@@ -65,7 +65,8 @@
   BlockSpec block;
   if (!item.ExpectKeys({"block", "region"})) return block;
   const YamlReader at = item.Child("block");
-  const std::string text = at.RequiredString("write a block such as 10.1.0.0/16");
+  const std::string text =
+      at.RequiredString("write a block such as 10.1.0.0/16");
   const size_t slash = text.find('/');
   const auto network = ParseIpv4(text.substr(0, slash));
   const std::string length =
@@ -152,8 +153,8 @@
     return target;
   }
   target.name = item.Child("name").RequiredString("name the target");
-  target.address =
-      item.Child("address").RequiredString("write an address such as 10.1.2.3:8080");
+  target.address = item.Child("address").RequiredString(
+      "write an address such as 10.1.2.3:8080");
   if (!IsAddress(target.address)) {
     item.Child("address").Problem("not an address",
                                   "write an address such as 10.1.2.3:8080");
@@ -184,7 +185,8 @@
   route.weight = item.Child("weight").RequiredNumber(kWeightRange);
   if (!item.Child("idempotent").present()) {
     item.Child("idempotent")
-        .Problem("missing", "write true if a request may run twice, else false");
+        .Problem("missing",
+                 "write true if a request may run twice, else false");
   }
   route.idempotent = item.Child("idempotent").Flag(false);
   route.key_required = item.Child("key_required").Flag(false);
@@ -217,8 +219,9 @@
       const double fraction = value.RequiredNumber(kFractionRange);
       ExpectRegion(value, region, document);
       if (fraction > 0 && serving.count(region) == 0) {
-        value.Problem(absl::StrCat("no target of this service in '", region, "'"),
-                      "set 0 or add a target there");
+        value.Problem(
+            absl::StrCat("no target of this service in '", region, "'"),
+            "set 0 or add a target there");
       }
       const bool crosses = fraction > 0 && region != home;
       if (crosses && (document.FindLink(home, region) == nullptr ||
@@ -299,20 +302,19 @@
 
 absl::StatusOr<YAML::Node> LoadYaml(const std::string& text) {
   if (text.size() > kMaxDocumentBytes) {
-    return StepError(absl::StatusCode::kInvalidArgument, Step::kDocumentParse,
-                     "document",
-                     absl::StrCat("document has ", text.size(),
-                                  " bytes; shorten it to at most ",
-                                  kMaxDocumentBytes));
+    return StepError(
+        absl::StatusCode::kInvalidArgument, Step::kDocumentParse, "document",
+        absl::StrCat("document has ", text.size(),
+                     " bytes; shorten it to at most ", kMaxDocumentBytes));
   }
   try {
     return YAML::Load(text);
   } catch (const YAML::Exception& error) {
-    return StepError(
-        absl::StatusCode::kInvalidArgument, Step::kDocumentParse, "document",
-        absl::StrCat("line ", error.mark.line + 1, ", column ",
-                     error.mark.column + 1, ": ", error.msg,
-                     "; correct the YAML at this place"));
+    return StepError(absl::StatusCode::kInvalidArgument, Step::kDocumentParse,
+                     "document",
+                     absl::StrCat("line ", error.mark.line + 1, ", column ",
+                                  error.mark.column + 1, ": ", error.msg,
+                                  "; correct the YAML at this place"));
   }
 }
 
--- a/modules/gg_document/section_text.cc
+++ b/modules/gg_document/section_text.cc
@@ -85,14 +85,14 @@
   const std::string whole = WithFinalNewline(text);
   const std::vector<SectionText> parts = SplitSections(whole);
   if (parts.size() != 1 || parts[0].name != name) {
-    return StepError(
-        absl::StatusCode::kInvalidArgument, Step::kDocumentCheck, name,
-        absl::StrCat("the text must hold the one top-level key '",
-                     std::string(name), "'; put other sections in edits of "
-                     "their own"));
+    return StepError(absl::StatusCode::kInvalidArgument, Step::kDocumentCheck,
+                     name,
+                     absl::StrCat("the text must hold the one top-level key '",
+                                  std::string(name),
+                                  "'; put other sections in edits of "
+                                  "their own"));
   }
-  std::vector<SectionText> sections =
-      SplitSections(WithFinalNewline(document));
+  std::vector<SectionText> sections = SplitSections(WithFinalNewline(document));
   const auto found =
       std::find_if(sections.begin(), sections.end(),
                    [&](const SectionText& s) { return s.name == name; });
@@ -130,10 +130,10 @@
   std::vector<uint32_t> length((a.size() + 1) * columns, 0);
   for (size_t i = a.size(); i-- > 0;) {
     for (size_t j = b.size(); j-- > 0;) {
-      length[i * columns + j] =
-          a[i] == b[j] ? length[(i + 1) * columns + j + 1] + 1
-                       : std::max(length[(i + 1) * columns + j],
-                                  length[i * columns + j + 1]);
+      length[i * columns + j] = a[i] == b[j]
+                                    ? length[(i + 1) * columns + j + 1] + 1
+                                    : std::max(length[(i + 1) * columns + j],
+                                               length[i * columns + j + 1]);
     }
   }
   std::string result;
@@ -148,8 +148,8 @@
       ++i;
       ++j;
     } else if (j == b.size() ||
-               (i < a.size() && length[(i + 1) * columns + j] >=
-                                    length[i * columns + j + 1])) {
+               (i < a.size() &&
+                length[(i + 1) * columns + j] >= length[i * columns + j + 1])) {
       add('-', a[i++]);
     } else {
       add('+', b[j++]);
--- a/modules/gg_document/section_text.h
+++ b/modules/gg_document/section_text.h
@@ -39,9 +39,8 @@
 
 /** Returns the names of the sections that differ, those added or removed
     included, in the order of `after`. */
-std::vector<std::string> ChangedSections(
-    const std::vector<SectionText>& before,
-    const std::vector<SectionText>& after);
+std::vector<std::string> ChangedSections(const std::vector<SectionText>& before,
+                                         const std::vector<SectionText>& after);
 
 /** Returns a line-by-line difference: lines with "-" only in `before`, "+" only
     in `after`, " " in both. */
--- a/modules/gg_document/yaml_reader.cc
+++ b/modules/gg_document/yaml_reader.cc
@@ -25,8 +25,9 @@
 void ProblemList::Add(const YAML::Mark& mark, std::string_view path,
                       std::string_view what, std::string_view remedy) {
   const std::string place =
-      mark.is_null() ? "" : absl::StrCat("line ", mark.line + 1, ", column ",
-                                         mark.column + 1, ", ");
+      mark.is_null() ? ""
+                     : absl::StrCat("line ", mark.line + 1, ", column ",
+                                    mark.column + 1, ", ");
   problems_.push_back(absl::StrCat(place, "at ", std::string(path), ": ",
                                    std::string(what), "; ",
                                    std::string(remedy)));
@@ -37,7 +38,9 @@
 YamlReader::YamlReader(YAML::Node node, std::string path, ProblemList* problems)
     : node_(std::move(node)), path_(std::move(path)), problems_(problems) {}
 
-bool YamlReader::present() const { return node_.IsDefined() && !node_.IsNull(); }
+bool YamlReader::present() const {
+  return node_.IsDefined() && !node_.IsNull();
+}
 
 void YamlReader::Problem(std::string_view what, std::string_view remedy) const {
   problems_->Add(node_.IsDefined() ? node_.Mark() : YAML::Mark::null_mark(),
@@ -47,8 +50,8 @@
 bool YamlReader::ExpectKeys(
     const std::vector<std::string_view>& allowed) const {
   if (!present() || !node_.IsMap()) {
-    Problem("expected a mapping", absl::StrCat("write the keys ",
-                                               JoinNames(allowed)));
+    Problem("expected a mapping",
+            absl::StrCat("write the keys ", JoinNames(allowed)));
     return false;
   }
   std::set<std::string> seen;
@@ -127,12 +130,13 @@
 double YamlReader::Number(NumberRange range, double fallback) const {
   if (!present()) return fallback;
   double value = 0;
-  const bool is_number = node_.IsScalar() && YAML::convert<double>::decode(node_, value);
+  const bool is_number =
+      node_.IsScalar() && YAML::convert<double>::decode(node_, value);
   if (!is_number || !std::isfinite(value) || value < range.low ||
       value > range.high) {
-    Problem("not a number in range", absl::StrCat("write a number from ",
-                                                  range.low, " to ",
-                                                  range.high));
+    Problem(
+        "not a number in range",
+        absl::StrCat("write a number from ", range.low, " to ", range.high));
     return fallback;
   }
   return value;
@@ -140,7 +144,8 @@
 
 int64_t YamlReader::RequiredCount(NumberRange range) const {
   const double value = RequiredNumber(range);
-  if (value != std::floor(value)) Problem("not a whole number", "drop the part after the point");
+  if (value != std::floor(value))
+    Problem("not a whole number", "drop the part after the point");
   return static_cast<int64_t>(value);
 }
 
@@ -173,9 +178,9 @@
 
 Duration YamlReader::Time(Duration fallback) const {
   static constexpr double kDay = 86400;
-  const double seconds = UnitNumber(
-      {{"ms", 0.001}, {"s", 1}, {"m", 60}, {"h", 3600}},
-      "write a time such as 250ms, 5s or 10m", ToSeconds(fallback));
+  const double seconds =
+      UnitNumber({{"ms", 0.001}, {"s", 1}, {"m", 60}, {"h", 3600}},
+                 "write a time such as 250ms, 5s or 10m", ToSeconds(fallback));
   if (seconds > kDay) {
     Problem("time over a day", "write at most 24h");
     return fallback;
@@ -185,10 +190,9 @@
 
 int64_t YamlReader::Bytes(int64_t fallback) const {
   static constexpr double kHighest = 1e15;
-  const double bytes =
-      UnitNumber({{"", 1}, {"KB", 1e3}, {"MB", 1e6}, {"GB", 1e9}},
-                 "write a size such as 64KB, 10MB or 1GB",
-                 static_cast<double>(fallback));
+  const double bytes = UnitNumber(
+      {{"", 1}, {"KB", 1e3}, {"MB", 1e6}, {"GB", 1e9}},
+      "write a size such as 64KB, 10MB or 1GB", static_cast<double>(fallback));
   if (bytes > kHighest) {
     Problem("size out of range", "write at most 1000000GB");
     return fallback;
--- a/modules/gg_document/yaml_reader.h
+++ b/modules/gg_document/yaml_reader.h
@@ -15,8 +15,8 @@
 class ProblemList {
  public:
   /** Adds "line L, column C, at PATH: what; remedy". */
-  void Add(const YAML::Mark& mark, std::string_view path,
-           std::string_view what, std::string_view remedy);
+  void Add(const YAML::Mark& mark, std::string_view path, std::string_view what,
+           std::string_view remedy);
 
   bool empty() const { return problems_.empty(); }
 
@@ -90,8 +90,9 @@
   std::vector<std::string> Strings() const;
 
  private:
-  double UnitNumber(const std::vector<std::pair<std::string_view, double>>& units,
-                    std::string_view remedy, double fallback) const;
+  double UnitNumber(
+      const std::vector<std::pair<std::string_view, double>>& units,
+      std::string_view remedy, double fallback) const;
 
   YAML::Node node_;
   std::string path_;
--- a/modules/gg_http/admin_handler.cc
+++ b/modules/gg_http/admin_handler.cc
@@ -61,10 +61,9 @@
   const std::string_view path = target.substr(0, target.find('?'));
   if (path == "/.greengage/health") {
     const std::string problem = options_.health();
-    return problem.empty()
-               ? TextAnswer(http::status::ok, "text/plain", "ok\n")
-               : TextAnswer(http::status::service_unavailable, "text/plain",
-                            problem + "\n");
+    return problem.empty() ? TextAnswer(http::status::ok, "text/plain", "ok\n")
+                           : TextAnswer(http::status::service_unavailable,
+                                        "text/plain", problem + "\n");
   }
   if (path == "/.greengage/metrics") {
     UpdateGauges();
@@ -150,8 +149,7 @@
   answer["targets"] = targets;
   json regions = json::object();
   for (const RegionSpec& region : document->regions) {
-    regions[region.name] =
-        UsageJson(options_.steering->Usage(region.name));
+    regions[region.name] = UsageJson(options_.steering->Usage(region.name));
   }
   answer["regions"] = regions;
   return TextAnswer(http::status::ok, "application/json", answer.dump());
--- a/modules/gg_http/caller_connection.h
+++ b/modules/gg_http/caller_connection.h
@@ -15,9 +15,9 @@
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
-  std::string address;        // "ip:port"
-  uint32_t client = 0;        // IPv4, host byte order
-  bool is_idle = false;       // between two requests
+  std::string address;   // "ip:port"
+  uint32_t client = 0;   // IPv4, host byte order
+  bool is_idle = false;  // between two requests
   TimePoint idle_since{};
 };
 
--- a/modules/gg_http/forwarder.cc
+++ b/modules/gg_http/forwarder.cc
@@ -41,14 +41,15 @@
 
 RefusalAnswer LostAnswer(const absl::Status& status) {
   const bool is_late = status.code() == absl::StatusCode::kDeadlineExceeded;
-  return {.status = is_late ? http::status::gateway_timeout
-                            : http::status::bad_gateway,
-          .outcome = Outcome::kUnknown,
-          .reason = is_late ? "deadline" : "target_failed",
-          .text = Message(status),
-          .step = kStepNames.Parse(ErrorStep(status))
-                      .value_or(Step::kForwardReceive),
-          .peer = ErrorPeer(status)};
+  return {
+      .status =
+          is_late ? http::status::gateway_timeout : http::status::bad_gateway,
+      .outcome = Outcome::kUnknown,
+      .reason = is_late ? "deadline" : "target_failed",
+      .text = Message(status),
+      .step =
+          kStepNames.Parse(ErrorStep(status)).value_or(Step::kForwardReceive),
+      .peer = ErrorPeer(status)};
 }
 
 /** The caller's body broke off after a part of it went to the target. */
@@ -120,8 +121,8 @@
   const auto limit = static_cast<uint64_t>(job->route->body_limit);
   const auto length = request.content_length();
   if (length && *length > limit) {
-    *handled = co_await SendRefusal(job->caller, request,
-                                    BodyTooLong(*job->route));
+    *handled =
+        co_await SendRefusal(job->caller, request, BodyTooLong(*job->route));
     co_return false;
   }
   request.body_limit(limit);
@@ -155,8 +156,8 @@
   co_return false;
 }
 
-asio::awaitable<Forwarder::Verdict> Forwarder::RunAttempt(
-    const ForwardJob& job, Attempt* attempt) {
+asio::awaitable<Forwarder::Verdict> Forwarder::RunAttempt(const ForwardJob& job,
+                                                          Attempt* attempt) {
   ++attempt->number;
   attempt->admission =
       options_.steering->Admit(attempt->admission_request, Now());
@@ -283,8 +284,7 @@
   co_return Verdict::kDone;
 }
 
-asio::awaitable<void> Forwarder::Answer(const ForwardJob& job,
-                                        Attempt* attempt,
+asio::awaitable<void> Forwarder::Answer(const ForwardJob& job, Attempt* attempt,
                                         TargetExchange* exchange) {
   const bool close_after = options_.is_draining();
   const bool was_run = !IsUnrunShed(exchange->answer());
@@ -304,14 +304,12 @@
   } else {
     attempt->result.handled = co_await exchange->Relay(close_after, &whole);
   }
-  options_.metrics->Count(
-      "greengage_requests_total",
-      absl::StrCat(KindLabel(*job.route), ",result=\"",
-                   whole ? "answered" : "cut", "\""));
+  options_.metrics->Count("greengage_requests_total",
+                          absl::StrCat(KindLabel(*job.route), ",result=\"",
+                                       whole ? "answered" : "cut", "\""));
 }
 
-asio::awaitable<void> Forwarder::Refuse(const ForwardJob& job,
-                                        Attempt* attempt,
+asio::awaitable<void> Forwarder::Refuse(const ForwardJob& job, Attempt* attempt,
                                         RefusalAnswer refusal) {
   options_.metrics->Count(
       "greengage_refusals_total",
--- a/modules/gg_http/forwarder.h
+++ b/modules/gg_http/forwarder.h
@@ -46,8 +46,8 @@
 /** Forwards requests to targets, with retries where they are safe.
 
     Safe are: any request of which no byte has left, one that a target refused
-    saying it was not run, and idempotent ones, as long as the body is held and the
-    retry budget allows. Used on its io_context's thread only. */
+    saying it was not run, and idempotent ones, as long as the body is held and
+   the retry budget allows. Used on its io_context's thread only. */
 class Forwarder {
  public:
   struct Options {
--- a/modules/gg_http/header_policy.cc
+++ b/modules/gg_http/header_policy.cc
@@ -7,10 +7,14 @@
 namespace {
 
 constexpr std::array<http::field, 9> kHopByHopFields = {
-    http::field::connection,        http::field::keep_alive,
-    http::field::proxy_connection,  http::field::proxy_authenticate,
-    http::field::proxy_authorization, http::field::te,
-    http::field::trailer,           http::field::transfer_encoding,
+    http::field::connection,
+    http::field::keep_alive,
+    http::field::proxy_connection,
+    http::field::proxy_authenticate,
+    http::field::proxy_authorization,
+    http::field::te,
+    http::field::trailer,
+    http::field::transfer_encoding,
     http::field::upgrade};
 
 bool IsHopByHop(http::field field) {
--- a/modules/gg_http/http_types.h
+++ b/modules/gg_http/http_types.h
@@ -1,13 +1,15 @@
 #ifndef GG_HTTP_HTTP_TYPES_H_
 #define GG_HTTP_HTTP_TYPES_H_
 
-#include "gg_store/asio.h"  // first: see there
-
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <cstdint>
+#include <limits>
 #include <string_view>
 
+#include "gg_store/asio.h"  // first: see there
+
 namespace greengage {
 
 namespace beast = boost::beast;
@@ -25,6 +27,10 @@
     before it is sent on. */
 inline constexpr size_t kHeldBodyBytes = 64 * 1024;
 
+/** Body limit of a parser that sets none. (Beast of Boost 1.74 refuses every
+   body when the limit is boost::none.) */
+inline constexpr uint64_t kUnlimitedBody = std::numeric_limits<uint64_t>::max();
+
 /** Largest request header accepted. */
 inline constexpr uint32_t kHeaderLimitBytes = 16 * 1024;
 
--- a/modules/gg_http/lookup_handler.h
+++ b/modules/gg_http/lookup_handler.h
@@ -11,13 +11,14 @@
 
 namespace greengage {
 
-/** Returns the parameters of a query string. Percent-encoding is not resolved: no
-    parameter of ours needs it. */
+/** Returns the parameters of a query string. Percent-encoding is not resolved:
+   no parameter of ours needs it. */
 std::map<std::string, std::string> ParseQuery(std::string_view target);
 
 /** Answers which entry hosts to use: GET /.greengage/lookup?service=NAME, with
     "&key=1" for an idempotency key and "&client=IP" for another client than the
-    one that asks. The answer is JSON; its Cache-Control carries the time to live.
+    one that asks. The answer is JSON; its Cache-Control carries the time to
+   live.
 
     Used on its io_context's thread only. */
 class LookupHandler {
--- a/modules/gg_http/order_claims.cc
+++ b/modules/gg_http/order_claims.cc
@@ -84,7 +84,8 @@
 }
 
 asio::awaitable<absl::Status> OrderClaims::EnsureLease() {
-  const bool is_fresh = lease_ != 0 && Now() - lease_granted_at_ < kLeaseRenewal;
+  const bool is_fresh =
+      lease_ != 0 && Now() - lease_granted_at_ < kLeaseRenewal;
   if (is_fresh) co_return absl::OkStatus();
   const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(
       kClaimLifetime + kLeaseRenewal);
@@ -114,8 +115,9 @@
     return claim;
   }
   const bool is_address_own = claim.owner_address == options_.traffic_address;
-  const bool is_own = is_address_own && parsed.value("incarnation", uint64_t{0}) ==
-                                            options_.self.incarnation;
+  const bool is_own =
+      is_address_own &&
+      parsed.value("incarnation", uint64_t{0}) == options_.self.incarnation;
   const double age =
       ToSeconds(Now() - options_.started_at) - parsed.value("at", 0.0);
   if (is_own && age < ToSeconds(options_.own_claim_age)) {
--- a/modules/gg_http/order_claims.h
+++ b/modules/gg_http/order_claims.h
@@ -26,18 +26,18 @@
 /** What is known of a claim. */
 struct OrderClaim {
   ClaimState state = ClaimState::kUnavailable;
-  uint64_t revision = 0;           // of the claim, for Record()
-  std::string owner_address;       // traffic address, with kElsewhere
-  OrderAnswer answer;              // with kAnswered
-  absl::Status error;              // with kUnavailable
+  uint64_t revision = 0;      // of the claim, for Record()
+  std::string owner_address;  // traffic address, with kElsewhere
+  OrderAnswer answer;         // with kAnswered
+  absl::Status error;         // with kUnavailable
 };
 
 /** Claims on orders in the platform's store, one key an order.
 
-    A claim is made by compare-and-swap before the first byte of an order leaves,
-    names one process, and is never taken over. A claim that this process made and
-    whose answer was lost is recognised when it is met again. Claims go after
-    `kClaimLifetime` with a lease shared by all claims of about an hour.
+    A claim is made by compare-and-swap before the first byte of an order
+   leaves, names one process, and is never taken over. A claim that this process
+   made and whose answer was lost is recognised when it is met again. Claims go
+   after `kClaimLifetime` with a lease shared by all claims of about an hour.
 
     Used on its io_context's thread only. */
 class OrderClaims {
--- a/modules/gg_http/order_runner.cc
+++ b/modules/gg_http/order_runner.cc
@@ -41,9 +41,10 @@
 RefusalAnswer ClaimFailed(const absl::Status& error) {
   RefusalAnswer refusal = OrderRefusal(
       http::status::service_unavailable, Outcome::kUnknown, "claim_failed",
-      absl::StrCat("this request was not dispatched, but whether an earlier one "
-                   "with this key ran is not known: ",
-                   std::string(error.message())));
+      absl::StrCat(
+          "this request was not dispatched, but whether an earlier one "
+          "with this key ran is not known: ",
+          std::string(error.message())));
   refusal.peer = ErrorPeer(error);
   return refusal;
 }
@@ -72,8 +73,7 @@
 
 asio::awaitable<HandledRequest> OrderRunner::Run(ForwardJob job) {
   job.outlives_caller = true;
-  const std::string key(
-      FromBeast(job.request->get()[ToBeast(kOrderKeyField)]));
+  const std::string key(FromBeast(job.request->get()[ToBeast(kOrderKeyField)]));
   if (key.empty()) {
     if (job.route->key_required) {
       co_return co_await SendRefusal(job.caller, *job.request, KeyRequired());
@@ -96,19 +96,17 @@
 asio::awaitable<HandledRequest> OrderRunner::RunIssued(ForwardJob job,
                                                        OrderKey key) {
   const KeyStanding standing = options_.steering->Standing(key, Now());
-  const bool was_passed_on =
-      !job.request->get()[ToBeast(kHopField)].empty();
+  const bool was_passed_on = !job.request->get()[ToBeast(kHopField)].empty();
   if (standing == KeyStanding::kPeer && !was_passed_on) {
-    const ForwardResult result = co_await options_.forwarder->ForwardToPeer(
-        std::move(job), key.address);
+    const ForwardResult result =
+        co_await options_.forwarder->ForwardToPeer(std::move(job), key.address);
     co_return result.handled;
   }
   if (standing != KeyStanding::kOwn) {
     co_return co_await SendRefusal(job.caller, *job.request,
                                    UnusableKey(standing));
   }
-  std::string order =
-      absl::StrCat(job.service->name, "/", FormatOrderKey(key));
+  std::string order = absl::StrCat(job.service->name, "/", FormatOrderKey(key));
   OrderAnswer answer;
   const OrderBegin begin = co_await Begin(order, &answer);
   if (begin != OrderBegin::kStarted) {
@@ -134,8 +132,7 @@
     co_return co_await AnswerRepeat(std::move(job), OrderBegin::kAnswered,
                                     std::move(claim.answer));
   }
-  const bool was_passed_on =
-      !job.request->get()[ToBeast(kHopField)].empty();
+  const bool was_passed_on = !job.request->get()[ToBeast(kHopField)].empty();
   if (claim.state == ClaimState::kElsewhere && !was_passed_on) {
     const ForwardResult result = co_await options_.forwarder->ForwardToPeer(
         std::move(job), claim.owner_address);
@@ -149,8 +146,7 @@
     ForwardJob job, std::string order, uint64_t claim_revision) {
   const bool is_in_store = claim_revision != 0;
   OrderAnswer recorded;
-  job.on_answer =
-      [&](const OrderAnswer& answer) -> asio::awaitable<void> {
+  job.on_answer = [&](const OrderAnswer& answer) -> asio::awaitable<void> {
     recorded = answer;
     options_.steering->CompleteOrder(order, answer);
     co_return;
@@ -191,15 +187,16 @@
     co_return co_await SendRecorded(job.caller, *job.request,
                                     std::move(answer));
   }
-  RefusalAnswer refusal = OrderRefusal(
-      http::status::conflict, Outcome::kUnknown, "order_unknown",
-      "the order was dispatched and its answer was lost; it will not run again");
+  RefusalAnswer refusal =
+      OrderRefusal(http::status::conflict, Outcome::kUnknown, "order_unknown",
+                   "the order was dispatched and its answer was lost; it will "
+                   "not run again");
   if (begin == OrderBegin::kRunning) {
     refusal.reason = "order_running";
     refusal.text = "the order is running; ask again with the same key";
   } else if (begin == OrderBegin::kFull) {
-    refusal = OrderRefusal(http::status::service_unavailable,
-                           Outcome::kUnknown, "ledger_full",
+    refusal = OrderRefusal(http::status::service_unavailable, Outcome::kUnknown,
+                           "ledger_full",
                            "no room for another order here; take another host");
   }
   co_return co_await SendRefusal(job.caller, *job.request, std::move(refusal));
--- a/modules/gg_http/order_runner.h
+++ b/modules/gg_http/order_runner.h
@@ -11,10 +11,10 @@
 
 /** Runs non-idempotent requests at most once per idempotency key.
 
-    An issued key names the one process that may run it; that process's memory is
-    the record, and every other daemon passes the request on to it. A key of the
-    caller's own is claimed in the platform's store first. Without a key a request
-    is run once for each time it is sent, if its route allows that.
+    An issued key names the one process that may run it; that process's memory
+   is the record, and every other daemon passes the request on to it. A key of
+   the caller's own is claimed in the platform's store first. Without a key a
+   request is run once for each time it is sent, if its route allows that.
 
     Used on its io_context's thread only. */
 class OrderRunner {
--- a/modules/gg_http/refusal_answer.h
+++ b/modules/gg_http/refusal_answer.h
@@ -28,8 +28,8 @@
   std::string peer = "self";
 };
 
-/** Sends a refusal. The connection is kept only when the request's body has been
-    read (`body_consumed`).
+/** Sends a refusal. The connection is kept only when the request's body has
+   been read (`body_consumed`).
     @return what the connection may do next. */
 asio::awaitable<HandledRequest> SendRefusal(CallerConnection* caller,
                                             const RequestParser& request,
--- a/modules/gg_http/request_dispatcher.cc
+++ b/modules/gg_http/request_dispatcher.cc
@@ -28,9 +28,9 @@
 }
 
 RefusalAnswer NoService(std::string_view host) {
-  return Unroutable(http::status::not_found, "unknown_service",
-                    absl::StrCat("no service has the Host '",
-                                 std::string(host), "'"));
+  return Unroutable(
+      http::status::not_found, "unknown_service",
+      absl::StrCat("no service has the Host '", std::string(host), "'"));
 }
 
 RefusalAnswer NoRoute(std::string_view service) {
@@ -94,8 +94,7 @@
   if (job.document == nullptr) {
     co_return co_await SendRefusal(caller, *request, NoDocument());
   }
-  const std::string_view host =
-      FromBeast(request->get()[http::field::host]);
+  const std::string_view host = FromBeast(request->get()[http::field::host]);
   job.service = job.document->FindServiceByHost(host);
   if (job.service == nullptr) {
     co_return co_await SendRefusal(caller, *request, NoService(host));
@@ -106,10 +105,8 @@
     co_return co_await SendRefusal(caller, *request,
                                    NoRoute(job.service->name));
   }
-  const std::string passed_home(
-      FromBeast(request->get()[ToBeast(kHomeField)]));
-  const bool is_home_known =
-      job.document->FindRegion(passed_home) != nullptr;
+  const std::string passed_home(FromBeast(request->get()[ToBeast(kHomeField)]));
+  const bool is_home_known = job.document->FindRegion(passed_home) != nullptr;
   job.home_region =
       is_home_known ? passed_home
                     : std::string(job.document->HomeRegion(
--- a/modules/gg_http/target_exchange.cc
+++ b/modules/gg_http/target_exchange.cc
@@ -85,18 +85,17 @@
   for (;;) {
     parser_.emplace();
     parser_->header_limit(kAnswerHeaderLimitBytes);
-    parser_->body_limit(boost::none);
+    parser_->body_limit(kUnlimitedBody);
     if (parts_.request->get().method() == http::verb::head) {
       parser_->skip(true);
     }
     SetDeadline();
-    co_await http::async_read_header(parts_.target->stream,
-                                     parts_.target->buffer, *parser_,
-                                     Await(&error));
+    co_await http::async_read_header(
+        parts_.target->stream, parts_.target->buffer, *parser_, Await(&error));
     if (error) co_return Failed(Step::kForwardReceive, error);
     const auto status = parser_->get().result();
-    const bool is_interim = http::to_status_class(status) ==
-                            http::status_class::informational;
+    const bool is_interim =
+        http::to_status_class(status) == http::status_class::informational;
     if (!is_interim) co_return absl::OkStatus();
   }
 }
@@ -167,8 +166,7 @@
   }
   answer.body() = {nullptr, 0, false};
   parts_.caller->stream.expires_after(kCallerStallLimit);
-  co_await http::async_write(parts_.caller->stream, serializer,
-                             Await(&error));
+  co_await http::async_write(parts_.caller->stream, serializer, Await(&error));
   *whole = !error;
   co_return HandledRequest{keep_alive && !error};
 }
@@ -183,14 +181,14 @@
 }
 
 asio::awaitable<absl::Status> TargetExchange::SendHeldRequest() {
-  http::request<http::string_body> request(
-      parts_.request->get().method(), parts_.request->get().target(), 11);
+  http::request<http::string_body> request(parts_.request->get().method(),
+                                           parts_.request->get().target(), 11);
   request.method_string(parts_.request->get().method_string());
   FillRequest(&request);
   request.body() = *parts_.held_body;
-  const bool has_framing =
-      parts_.request->get().has_content_length() ||
-      parts_.request->get().chunked() || !parts_.held_body->empty();
+  const bool has_framing = parts_.request->get().has_content_length() ||
+                           parts_.request->get().chunked() ||
+                           !parts_.held_body->empty();
   if (has_framing) request.content_length(parts_.held_body->size());
   co_await Pace(parts_.pace_request,
                 static_cast<int64_t>(request.body().size()));
@@ -202,8 +200,8 @@
 }
 
 asio::awaitable<absl::Status> TargetExchange::StreamRequest() {
-  http::request<http::buffer_body> request(
-      parts_.request->get().method(), parts_.request->get().target(), 11);
+  http::request<http::buffer_body> request(parts_.request->get().method(),
+                                           parts_.request->get().target(), 11);
   request.method_string(parts_.request->get().method_string());
   FillRequest(&request);
   const auto length = parts_.request->content_length();
@@ -312,9 +310,9 @@
   const auto code = error == beast::error::timeout
                         ? absl::StatusCode::kDeadlineExceeded
                         : absl::StatusCode::kUnknown;
-  return StepError(
-      code, step, is_callers ? parts_.caller->address : parts_.target->address,
-      error.message());
+  return StepError(code, step,
+                   is_callers ? parts_.caller->address : parts_.target->address,
+                   error.message());
 }
 
 }  // namespace greengage
--- a/modules/gg_http/target_exchange.h
+++ b/modules/gg_http/target_exchange.h
@@ -60,8 +60,8 @@
   /** Sends the answer whose whole body is held. */
   asio::awaitable<HandledRequest> SendHeld(bool close_after);
 
-  /** Passes on the answer, what is held of it first. A break on the target's side
-      closes the caller's connection, which makes it visible.
+  /** Passes on the answer, what is held of it first. A break on the target's
+     side closes the caller's connection, which makes it visible.
       @param whole  receives whether the caller got everything. */
   asio::awaitable<HandledRequest> Relay(bool close_after, bool* whole);
 
--- a/modules/gg_http/target_pool.cc
+++ b/modules/gg_http/target_pool.cc
@@ -38,8 +38,8 @@
     co_return StepError(absl::StatusCode::kUnavailable, Step::kForwardConnect,
                         address, "not an address");
   }
-  auto connection = std::make_unique<TargetConnection>(
-      co_await asio::this_coro::executor);
+  auto connection =
+      std::make_unique<TargetConnection>(co_await asio::this_coro::executor);
   connection->address = std::move(address);
   connection->stream.expires_after(options_.connect_timeout);
   ErrorCode error;
--- a/modules/gg_http/target_pool.h
+++ b/modules/gg_http/target_pool.h
@@ -27,9 +27,9 @@
 
 /** Idle connections to targets, for one io_context.
 
-    A connection comes back only after a whole exchange; after a cancel, a time-out
-    or any error it is destroyed instead, so that a late answer can never meet
-    another request. Used on its io_context's thread only. */
+    A connection comes back only after a whole exchange; after a cancel, a
+   time-out or any error it is destroyed instead, so that a late answer can
+   never meet another request. Used on its io_context's thread only. */
 class TargetPool {
  public:
   struct Options {
--- a/modules/gg_http/traffic_server.cc
+++ b/modules/gg_http/traffic_server.cc
@@ -32,8 +32,8 @@
   std::atomic<int64_t>* count_;
 };
 
-/** Closes in a way that lets the caller read the last answer: closing with unread
-    bytes would reset the connection and destroy it. */
+/** Closes in a way that lets the caller read the last answer: closing with
+   unread bytes would reset the connection and destroy it. */
 asio::awaitable<void> Linger(CallerConnection* caller) {
   ErrorCode error;
   caller->stream.socket().shutdown(asio::socket_base::shutdown_send, error);
@@ -41,8 +41,8 @@
   size_t total = 0;
   caller->stream.expires_after(kLingerTime);
   while (!error && total < kLingerBytes) {
-    total += co_await caller->stream.async_read_some(
-        asio::buffer(discarded), Await(&error));
+    total += co_await caller->stream.async_read_some(asio::buffer(discarded),
+                                                     Await(&error));
   }
 }
 
@@ -84,12 +84,12 @@
     workers_.push_back(std::make_unique<Worker>());
   }
   ErrorCode error;
-  acceptor_ =
-      std::make_unique<asio::ip::tcp::acceptor>(workers_[0]->context);
+  acceptor_ = std::make_unique<asio::ip::tcp::acceptor>(workers_[0]->context);
   acceptor_->open(endpoint->protocol(), error);
   acceptor_->set_option(asio::socket_base::reuse_address(true), error);
   acceptor_->bind(*endpoint, error);
-  if (!error) acceptor_->listen(asio::socket_base::max_listen_connections, error);
+  if (!error)
+    acceptor_->listen(asio::socket_base::max_listen_connections, error);
   if (error) {
     return StepError(absl::StatusCode::kUnavailable, Step::kSettings,
                      options_.address,
@@ -116,9 +116,8 @@
 void TrafficServer::CloseIdle() {
   closing_ = true;
   for (const auto& worker : workers_) {
-    asio::post(worker->context, [this, w = worker.get()] {
-      CloseIdleOf(w, Duration::zero());
-    });
+    asio::post(worker->context,
+               [this, w = worker.get()] { CloseIdleOf(w, Duration::zero()); });
   }
 }
 
@@ -169,13 +168,12 @@
     const ActiveCount active(&active_);
     RequestParser request;
     request.header_limit(kHeaderLimitBytes);
-    request.body_limit(boost::none);
+    request.body_limit(kUnlimitedBody);
     ErrorCode error;
     caller->stream.expires_after(options_.header_limit);
     co_await http::async_read_header(caller->stream, caller->buffer, request,
                                      Await(&error));
-    if (error == http::error::end_of_stream ||
-        error == beast::error::timeout ||
+    if (error == http::error::end_of_stream || error == beast::error::timeout ||
         error == asio::error::operation_aborted) {
       co_return;
     }
--- a/modules/gg_insight/event_log.cc
+++ b/modules/gg_insight/event_log.cc
@@ -4,9 +4,9 @@
 #include <boost/log/expressions.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/log/utility/setup/console.hpp>
-#include <boost/log/support/date_time.hpp>
 #include <iostream>
 
 namespace greengage {
--- a/modules/gg_insight/metrics.cc
+++ b/modules/gg_insight/metrics.cc
@@ -12,7 +12,7 @@
 namespace bh = boost::histogram;
 
 constexpr int kLatencyBins = 28;
-constexpr double kLatencyLowest = 1e-5;   // seconds
+constexpr double kLatencyLowest = 1e-5;  // seconds
 constexpr double kLatencyHighest = 1e2;  // seconds
 
 using LatencyAxis = bh::axis::regular<double, bh::axis::transform::log>;
--- a/modules/gg_steering/budget_table.cc
+++ b/modules/gg_steering/budget_table.cc
@@ -61,7 +61,8 @@
   // Loan identifiers start at 1: 0 marks a permit of the daemon's own.
   assert(loan.id != 0);
   if (loan.permits <= 0 || loan.expires_at <= now) return false;
-  return regions_[loan.region].borrowed.emplace(loan.id, BorrowedPermits{loan})
+  return regions_[loan.region]
+      .borrowed.emplace(loan.id, BorrowedPermits{loan})
       .second;
 }
 
--- a/modules/gg_steering/budget_table.h
+++ b/modules/gg_steering/budget_table.h
@@ -20,7 +20,7 @@
 /** What a request asks of a region's budget. */
 struct PermitRequest {
   std::string region;
-  Duration time_limit{};       // zero: unbounded
+  Duration time_limit{};         // zero: unbounded
   bool may_use_reserve = false;  // true for the most valuable kinds
 };
 
@@ -52,8 +52,8 @@
 /** Concurrent requests that one daemon may run, by region.
 
     The sum over all daemons of own permits never exceeds a region's capacity
-    (see SliceTable). A loan is subtracted at the lender before it is offered and
-    comes back only after its term and a margin, by the lender's clock; the
+    (see SliceTable). A loan is subtracted at the lender before it is offered
+   and comes back only after its term and a margin, by the lender's clock; the
     borrower counts the term from the moment it sent its request and admits on a
     loan only requests that end before it. A lost, late or repeated message
     therefore costs headroom and never adds any.
--- a/modules/gg_steering/controller.cc
+++ b/modules/gg_steering/controller.cc
@@ -21,10 +21,10 @@
 
 constexpr Duration kJoinPause = std::chrono::seconds(10);
 
-Event EventOf(MemberState state) {
+Event EventOf(MemberState state, bool is_refutation) {
   switch (state) {
     case MemberState::kAlive:
-      return Event::kMemberJoined;
+      return is_refutation ? Event::kMemberRecovered : Event::kMemberJoined;
     case MemberState::kLeaving:
       return Event::kMemberLeaving;
     case MemberState::kSuspect:
@@ -35,9 +35,7 @@
   return Event::kMemberRemoved;
 }
 
-std::string Text(absl::string_view text) {
-  return {text.data(), text.size()};
-}
+std::string Text(absl::string_view text) { return {text.data(), text.size()}; }
 
 }  // namespace
 
@@ -57,8 +55,8 @@
             return membership;
           }(),
           now),
-      slices_({.self = options_.self.id,
-               .gone_after = options_.host_gone_after}),
+      slices_(
+          {.self = options_.self.id, .gone_after = options_.host_gone_after}),
       loans_({}, steering, options_.seed + 1),
       started_at_(now),
       last_tick_(now),
@@ -154,11 +152,11 @@
   if (message.wants_reply) {
     hooks_.send(from.address, MakeHeartbeat(false));
   }
-  const bool has_news = message.document_revision > replica_.revision() ||
-                        message.plan_revision > plan_.revision() ||
-                        message.slices_revision > slices_.revision() ||
-                        message.hosts_revision >
-                            shared_[SharedKey::kHosts].revision;
+  const bool has_news =
+      message.document_revision > replica_.revision() ||
+      message.plan_revision > plan_.revision() ||
+      message.slices_revision > slices_.revision() ||
+      message.hosts_revision > shared_[SharedKey::kHosts].revision;
   const bool differs = message.members_digest != membership_.Digest();
   TimePoint& next_sync = next_sync_[from.address];
   if (has_news && now >= next_sync) {
@@ -243,9 +241,9 @@
 
 void Controller::OnLoanGrant(const LoanGrant& message, TimePoint now) {
   if (!loans_.OnGrant(message, now)) return;
-  hooks_.log(LogLevel::kDebug, Event::kLoanReceived,
-             absl::StrCat("region=", message.region,
-                          " permits=", message.permits));
+  hooks_.log(
+      LogLevel::kDebug, Event::kLoanReceived,
+      absl::StrCat("region=", message.region, " permits=", message.permits));
 }
 
 void Controller::ApplyOffer(DocumentOffer offer, TimePoint now) {
@@ -292,7 +290,7 @@
     ApplyHosts(text, now);
   }
   if (!status.ok()) {
-    hooks_.log(LogLevel::kError, Event::kDocumentRefused,
+    hooks_.log(LogLevel::kError, Event::kSharedValueRefused,
                Text(status.message()));
     return;
   }
@@ -320,10 +318,9 @@
 void Controller::NoteChange(const MemberRecord& record) {
   pending_updates_.push_back(record);
   if (record.id == options_.self.id) return;
-  hooks_.log(LogLevel::kInfo, EventOf(record.state),
-             absl::StrCat("peer=", record.id.address,
-                          " incarnation=", record.id.incarnation,
-                          " version=", record.version));
+  hooks_.log(LogLevel::kInfo, EventOf(record.state, record.version > 0),
+             absl::StrCat("peer=", record.id.address, " incarnation=",
+                          record.id.incarnation, " version=", record.version));
 }
 
 Heartbeat Controller::MakeHeartbeat(bool wants_reply) const {
@@ -332,8 +329,7 @@
           .document_revision = replica_.revision(),
           .plan_revision = plan_.revision(),
           .slices_revision = slices_.revision(),
-          .hosts_revision =
-              hosts == shared_.end() ? 0 : hosts->second.revision,
+          .hosts_revision = hosts == shared_.end() ? 0 : hosts->second.revision,
           .wants_reply = wants_reply};
 }
 
@@ -450,17 +446,17 @@
   UpdateBudgets(now);
   if (const std::optional<SliceTable> released = slices_.ReleasedTable()) {
     if (!IsIdleEnoughToRelease() || !MayWrite(SharedKey::kSlices, now)) return;
-    hooks_.write_store({SharedKey::kSlices, slices_.revision(),
-                        SliceTableToJson(*released)});
+    hooks_.write_store(
+        {SharedKey::kSlices, slices_.revision(), SliceTableToJson(*released)});
     return;
   }
   const bool is_leaving = membership_.self().state == MemberState::kLeaving;
   if (is_leaving || known_.count(SharedKey::kSlices) == 0) return;
-  const std::optional<SliceTable> claimed = slices_.PlanClaim(
-      replica_.document()->slices, LivingAddresses(), now);
+  const std::optional<SliceTable> claimed =
+      slices_.PlanClaim(replica_.document()->slices, LivingAddresses(), now);
   if (claimed && MayWrite(SharedKey::kSlices, now)) {
-    hooks_.write_store({SharedKey::kSlices, slices_.revision(),
-                        SliceTableToJson(*claimed)});
+    hooks_.write_store(
+        {SharedKey::kSlices, slices_.revision(), SliceTableToJson(*claimed)});
   }
 }
 
@@ -474,8 +470,8 @@
     return;
   }
   if (!plan_due_since_) plan_due_since_ = now;
-  // The first living address writes; each next one waits a little longer, in case
-  // those before it cannot reach the store.
+  // The first living address writes; each next one waits a little longer, in
+  // case those before it cannot reach the store.
   const std::set<std::string> living = LivingAddresses();
   const auto rank = std::distance(living.begin(),
                                   living.lower_bound(options_.self.id.address));
@@ -490,8 +486,7 @@
   TimePoint& next_write = next_write_[key];
   if (now < next_write) return false;
   const double jitter = 1 + random_.Uniform();
-  next_write =
-      now + FromSeconds(ToSeconds(options_.write_pause) * jitter);
+  next_write = now + FromSeconds(ToSeconds(options_.write_pause) * jitter);
   return true;
 }
 
--- a/modules/gg_steering/controller.h
+++ b/modules/gg_steering/controller.h
@@ -34,7 +34,8 @@
     std::vector<std::string> seeds;  // peer addresses to join by
     uint64_t seed = 1;
     Duration heartbeat_interval = std::chrono::seconds(1);
-    /** Pause between attempts to write one key, plus as much again at random. */
+    /** Pause between attempts to write one key, plus as much again at random.
+     */
     Duration write_pause = std::chrono::milliseconds(500);
     /** Time within which peers may tell their positions to a new daemon. */
     Duration position_wait = std::chrono::seconds(1);
--- a/modules/gg_steering/document_replica.h
+++ b/modules/gg_steering/document_replica.h
@@ -23,8 +23,8 @@
 
 /** One daemon's copy of the operators' document, section by section.
 
-    The revision never decreases. An invalid revision is remembered, so that it is
-    parsed and reported once. One thread at a time. */
+    The revision never decreases. An invalid revision is remembered, so that it
+   is parsed and reported once. One thread at a time. */
 class DocumentReplica {
  public:
   //==============================================================================
--- a/modules/gg_steering/loan_broker.cc
+++ b/modules/gg_steering/loan_broker.cc
@@ -10,8 +10,7 @@
 std::vector<OutgoingLoanRequest> LoanBroker::Tick(
     const std::vector<std::string>& peers, TimePoint now) {
   std::erase_if(pending_, [&](const auto& entry) {
-    return now - entry.second.sent_at >=
-           steering_->options().budget.loan_term;
+    return now - entry.second.sent_at >= steering_->options().budget.loan_term;
   });
   std::vector<OutgoingLoanRequest> requests;
   const DocumentPtr document = steering_->document();
@@ -63,9 +62,8 @@
   const int64_t refused = steering_->TakeRefused(region);
   const RegionUsage usage = steering_->Usage(region);
   const auto limit = static_cast<double>(usage.limit());
-  const bool is_short =
-      refused > 0 || static_cast<double>(usage.in_use) >
-                         options_.high_water * limit;
+  const bool is_short = refused > 0 || static_cast<double>(usage.in_use) >
+                                           options_.high_water * limit;
   if (!is_short) return 0;
   return std::max<int64_t>(refused, static_cast<int64_t>(std::ceil(limit / 2)));
 }
--- a/modules/gg_steering/loan_broker.h
+++ b/modules/gg_steering/loan_broker.h
@@ -22,8 +22,8 @@
 };
 
 /** Asks peers for permits where this daemon's budget is short, and answers when
-    they ask. The term of a loan is counted from the moment the request was sent,
-    which is before the lender subtracted it. One thread at a time. */
+    they ask. The term of a loan is counted from the moment the request was
+   sent, which is before the lender subtracted it. One thread at a time. */
 class LoanBroker {
  public:
   struct Options {
--- a/modules/gg_steering/lookup_policy.cc
+++ b/modules/gg_steering/lookup_policy.cc
@@ -31,11 +31,10 @@
   for (const MemberRecord& member : members) {
     const bool is_suspect = member.state == MemberState::kSuspect;
     if (member.state != MemberState::kAlive && !is_suspect) continue;
-    candidates.push_back(
-        {.is_suspect = is_suspect,
-         .is_remote = member.region != query.home_region,
-         .rank = Hash64(member.traffic_address, block_hash),
-         .record = &member});
+    candidates.push_back({.is_suspect = is_suspect,
+                          .is_remote = member.region != query.home_region,
+                          .rank = Hash64(member.traffic_address, block_hash),
+                          .record = &member});
   }
   const bool has_alive =
       std::any_of(candidates.begin(), candidates.end(),
--- a/modules/gg_steering/lookup_policy.h
+++ b/modules/gg_steering/lookup_policy.h
@@ -24,9 +24,9 @@
 
     Hosts that are alive come before suspects, which are named only when nobody
     else is left; leaving and removed hosts are never named. Hosts of the home
-    region come first. Among equals the order is fixed by rendezvous hashing over
-    the block of clients, so that it stays as it is while the member list does and
-    a change moves only the blocks of the host that changed. (Thaler and
+    region come first. Among equals the order is fixed by rendezvous hashing
+   over the block of clients, so that it stays as it is while the member list
+   does and a change moves only the blocks of the host that changed. (Thaler and
     Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", 1998.) */
 std::vector<MemberRecord> ChooseEntryHosts(
     const std::vector<MemberRecord>& members, const LookupQuery& query);
--- a/modules/gg_steering/membership.cc
+++ b/modules/gg_steering/membership.cc
@@ -19,9 +19,7 @@
 }  // namespace
 
 Membership::Membership(Options options, TimePoint now)
-    : options_(std::move(options)),
-      self_(options_.self),
-      last_tick_(now) {
+    : options_(std::move(options)), self_(options_.self), last_tick_(now) {
   Store(self_, now);
 }
 
@@ -123,8 +121,8 @@
 }
 
 void Membership::Refute(const MemberRecord& claim, TimePoint now) {
-  // A record of a later incarnation at this address can only come from a process
-  // that bound the same port after this one; it is not answered.
+  // A record of a later incarnation at this address can only come from a
+  // process that bound the same port after this one; it is not answered.
   if (claim.id.incarnation != self_.id.incarnation) return;
   self_.version = claim.version + 1;
   Store(self_, now);
@@ -137,8 +135,7 @@
     if (entry.record.state == MemberState::kRemoved) continue;
     nodes.push_back({address, entry.record.zone});
   }
-  neighbours_ =
-      OverlayNeighbours(nodes, self_.id.address, options_.overlay);
+  neighbours_ = OverlayNeighbours(nodes, self_.id.address, options_.overlay);
   std::map<std::string, TimePoint> heard;
   for (const std::string& address : neighbours_) {
     const auto known = heard_.find(address);
--- a/modules/gg_steering/membership.h
+++ b/modules/gg_steering/membership.h
@@ -18,13 +18,13 @@
     Each daemon exchanges heartbeats with its overlay neighbours only. A silent
     neighbour becomes suspect; suspicions, arrivals and departures travel as
     single records that every daemon passes on to its neighbours once. A daemon
-    that hears it is suspected answers with a higher version. There is no vote and
-    no leader; differences that a lost message left behind are found by comparing
-    Digest() with the neighbours'.
+    that hears it is suspected answers with a higher version. There is no vote
+   and no leader; differences that a lost message left behind are found by
+   comparing Digest() with the neighbours'.
 
     (SWIM's incarnation and refutation rules: Das, Gupta and Motivala, "SWIM:
-    Scalable Weakly-consistent Infection-style Process Group Membership Protocol",
-    DSN 2002.)
+    Scalable Weakly-consistent Infection-style Process Group Membership
+   Protocol", DSN 2002.)
 
     One thread at a time. */
 class Membership {
@@ -53,9 +53,9 @@
   /** Notes that a frame of `id` arrived. */
   void HeardFrom(const HostId& id, TimePoint now);
 
-  /** Suspects silent neighbours and removes old suspects. A call that comes late
-      by more than the suspicion time means that this process was paused: nobody
-      is suspected until the neighbours had time to speak. */
+  /** Suspects silent neighbours and removes old suspects. A call that comes
+     late by more than the suspicion time means that this process was paused:
+     nobody is suspected until the neighbours had time to speak. */
   void Tick(TimePoint now);
 
   /** Announces that this daemon is leaving. */
--- a/modules/gg_steering/order_key.h
+++ b/modules/gg_steering/order_key.h
@@ -12,8 +12,8 @@
 
     It names the one process that may run requests with this key: the traffic
     address and the incarnation. `expires` is in seconds of the issuer's
-    monotonic clock since its start, and only the issuer compares it. `check` is a keyed hash
-    over the other fields, so that no key can be made up. Written
+    monotonic clock since its start, and only the issuer compares it. `check` is
+   a keyed hash over the other fields, so that no key can be made up. Written
     "gg1-<address>-<incarnation>-<sequence>-<expires>-<check>". */
 struct OrderKey {
   std::string address;
--- a/modules/gg_steering/overlay.cc
+++ b/modules/gg_steering/overlay.cc
@@ -27,7 +27,8 @@
   const auto index = static_cast<int>(at - ring.begin());
   for (int distance = 1; distance <= reach; ++distance) {
     for (const int other : {index + distance, index - distance}) {
-      const std::string_view address = ring[((other % size) + size) % size].address;
+      const std::string_view address =
+          ring[((other % size) + size) % size].address;
       if (address != self) neighbours->emplace(address);
     }
   }
--- a/modules/gg_steering/overlay.h
+++ b/modules/gg_steering/overlay.h
@@ -27,9 +27,9 @@
 
     All nodes are put in one ring by the hash of their address, and those of an
     availability zone in a ring of their own; a node's neighbours are the next
-    ones on both sides of it. The relation is symmetric, each node can compute it
-    from the member list alone, and a node's coming or going changes it near that
-    node only. */
+    ones on both sides of it. The relation is symmetric, each node can compute
+   it from the member list alone, and a node's coming or going changes it near
+   that node only. */
 std::vector<std::string> OverlayNeighbours(
     const std::vector<OverlayNode>& nodes, std::string_view self,
     const OverlayOptions& options);
--- a/modules/gg_steering/ramp_plan.cc
+++ b/modules/gg_steering/ramp_plan.cc
@@ -58,7 +58,8 @@
 absl::StatusOr<RampPlan> RampPlanFromJson(const std::string& text) {
   RampPlan plan;
   try {
-    for (const auto& [name, value] : nlohmann::json::parse(text).items()) {
+    const nlohmann::json parsed = nlohmann::json::parse(text);
+    for (const auto& [name, value] : parsed.items()) {
       ServicePosition& position = plan.services[name];
       position.step = value.at("step").get<uint64_t>();
       position.split =
--- a/modules/gg_steering/ramp_plan.h
+++ b/modules/gg_steering/ramp_plan.h
@@ -22,10 +22,10 @@
 
 /** Positions of all services, kept as one value in the platform's store.
 
-    A fleet that restarts as a whole goes on from here. Each change is written by
-    compare-and-swap against the value it follows and moves a service by at most
-    one step; a writer that was paused loses the swap or follows a position that
-    stood for longer than it thinks, and both keep the cap. */
+    A fleet that restarts as a whole goes on from here. Each change is written
+   by compare-and-swap against the value it follows and moves a service by at
+   most one step; a writer that was paused loses the swap or follows a position
+   that stood for longer than it thinks, and both keep the cap. */
 struct RampPlan {
   std::map<std::string, ServicePosition> services;
 
@@ -46,8 +46,8 @@
 using PlanSightings = std::map<std::string, TimePoint>;
 
 /** Returns the plan that follows `plan` under `document`: services that are new
-    start at their split, services that are gone are dropped, and a service whose
-    position was seen for PlanStepInterval() moves one step. Returns `plan`
+    start at their split, services that are gone are dropped, and a service
+   whose position was seen for PlanStepInterval() moves one step. Returns `plan`
     itself when nothing is due. */
 RampPlan NextPlan(const RampPlan& plan, const Document& document,
                   const PlanSightings& sightings, TimePoint now);
--- a/modules/gg_steering/shift_limiter.h
+++ b/modules/gg_steering/shift_limiter.h
@@ -13,19 +13,19 @@
     absolute differences, as a fraction. */
 double ShiftSize(const RegionSplit& before, const RegionSplit& after);
 
-/** Returns the split on the straight line from `from` to `to` whose distance from
-    `from` is at most `limit`. */
+/** Returns the split on the straight line from `from` to `to` whose distance
+   from `from` is at most `limit`. */
 RegionSplit MoveTowards(const RegionSplit& from, const RegionSplit& to,
                         double limit);
 
 /** Split of one service's traffic from one home region at one daemon, moved no
     faster than the owners' cap allows.
 
-    The move is spread evenly over time: at most `kLocalShare` of cap per window,
-    and a pause of any length is not made up for afterwards by a jump. The part
-    that is left out covers the step by which the stored plan may be ahead of a
-    fleet that restarts as a whole. Limits of shares add up to the limit of the
-    whole, so no daemon depends on another to keep the cap.
+    The move is spread evenly over time: at most `kLocalShare` of cap per
+   window, and a pause of any length is not made up for afterwards by a jump.
+   The part that is left out covers the step by which the stored plan may be
+   ahead of a fleet that restarts as a whole. Limits of shares add up to the
+   limit of the whole, so no daemon depends on another to keep the cap.
 
     One thread at a time. */
 class ShiftLimiter {
@@ -44,9 +44,9 @@
   double Advance(const RegionSplit& desired, const ShiftSpec& spec,
                  TimePoint now);
 
-  /** Chooses the region of the next request, so that any run of requests follows
-      the split as closely as whole numbers can (smooth weighted round robin).
-      Returns "" when the split is empty. */
+  /** Chooses the region of the next request, so that any run of requests
+     follows the split as closely as whole numbers can (smooth weighted round
+     robin). Returns "" when the split is empty. */
   std::string PickRegion();
 
   const RegionSplit& split() const { return split_; }
--- a/modules/gg_steering/slice_keeper.cc
+++ b/modules/gg_steering/slice_keeper.cc
@@ -17,8 +17,8 @@
       continue;
     }
     if (usable_at_.count(slice) != 0) continue;
-    // Only a slice that was seen free and then claimed by the very next write is
-    // known to have had no other holder in between.
+    // Only a slice that was seen free and then claimed by the very next write
+    // is known to have had no other holder in between.
     const bool was_free = i < table_.owners.size()
                               ? table_.owners[i].address.empty()
                               : table_.owners.empty();
--- a/modules/gg_steering/slice_keeper.h
+++ b/modules/gg_steering/slice_keeper.h
@@ -23,8 +23,8 @@
 
     A slice taken over from an earlier holder is used only after everything the
     holder may have lent or started has ended. A slice is given up in two steps:
-    first it is no longer used, and when nothing runs on it any more it is freed by
-    a compare-and-swap. One thread at a time. */
+    first it is no longer used, and when nothing runs on it any more it is freed
+   by a compare-and-swap. One thread at a time. */
 class SliceKeeper {
  public:
   struct Options {
@@ -87,7 +87,8 @@
   Options options_;
   SliceTable table_;
   uint64_t revision_ = 0;
-  uint64_t claim_base_ = ~uint64_t{0};  // revision the last claim was planned on
+  uint64_t claim_base_ =
+      ~uint64_t{0};  // revision the last claim was planned on
   std::map<int64_t, TimePoint> usable_at_;  // by slice
   std::set<int64_t> releasing_;
   std::set<std::string> ever_listed_;
--- a/modules/gg_steering/slice_table.h
+++ b/modules/gg_steering/slice_table.h
@@ -14,9 +14,9 @@
 /** Owners of the equal slices into which every region's capacity is cut.
 
     Kept as one value in the platform's store and changed by compare-and-swap
-    only. A slice has at most one owner, so the sum of all budgets is at most the
-    capacity whatever daemons believe about each other. A free slice has an owner
-    with an empty address. */
+    only. A slice has at most one owner, so the sum of all budgets is at most
+   the capacity whatever daemons believe about each other. A free slice has an
+   owner with an empty address. */
 struct SliceTable {
   std::vector<HostId> owners;
 
@@ -48,7 +48,8 @@
 
 /** Returns the table after `input.self` has claimed its fair share: first all
     slices of an earlier incarnation at its own address, then free slices and
-    those of hosts that are gone. Returns `table` itself when nothing changes. */
+    those of hosts that are gone. Returns `table` itself when nothing changes.
+ */
 SliceTable PlanSliceClaim(const SliceTable& table,
                           const SliceClaimInput& input);
 
--- a/modules/gg_steering/steering.h
+++ b/modules/gg_steering/steering.h
@@ -29,11 +29,11 @@
 /** Why a request was not admitted. In every case no byte of it left. */
 enum class Refusal {
   kNone,
-  kNotReady,       // no document, or no positions yet
-  kControlStalled, // the control thread has not run for too long
-  kRegionFull,     // the region's budget binds
-  kNoTarget,       // no target in the region can take work
-  kRetrySpent,     // the retry budget is spent
+  kNotReady,        // no document, or no positions yet
+  kControlStalled,  // the control thread has not run for too long
+  kRegionFull,      // the region's budget binds
+  kNoTarget,        // no target in the region can take work
+  kRetrySpent,      // the retry budget is spent
 };
 
 inline constexpr EnumNames<Refusal, 6> kRefusalNames{
@@ -82,8 +82,8 @@
 /** Everything that traffic threads ask before they act, behind one lock.
 
     The control thread feeds it (documents, plans, budgets, members), traffic
-    threads ask it. No call blocks or does I/O. All methods may be called from any
-    thread. */
+    threads ask it. No call blocks or does I/O. All methods may be called from
+   any thread. */
 class Steering {
  public:
   struct Options {
--- a/modules/gg_steering/target_table.cc
+++ b/modules/gg_steering/target_table.cc
@@ -99,12 +99,12 @@
   if (found == by_place_.end()) return false;
   const auto place = found->second.find(region);
   if (place == found->second.end()) return false;
-  return std::any_of(
-      place->second.begin(), place->second.end(), [&](size_t index) {
-        const TargetState& state = rows_[index];
-        return !state.removed && !state.spec.leaving &&
-               state.ejected_until <= now;
-      });
+  return std::any_of(place->second.begin(), place->second.end(),
+                     [&](size_t index) {
+                       const TargetState& state = rows_[index];
+                       return !state.removed && !state.spec.leaving &&
+                              state.ejected_until <= now;
+                     });
 }
 
 bool TargetTable::IsUsable(const TargetState& state, TimePoint now) const {
--- a/modules/gg_steering/target_table.h
+++ b/modules/gg_steering/target_table.h
@@ -24,8 +24,8 @@
   TargetSpec spec;
   std::string service;
   std::string region;
-  int64_t in_flight = 0;         // of this daemon
-  double latency_seconds = 0;    // moving average, 0 before the first answer
+  int64_t in_flight = 0;       // of this daemon
+  double latency_seconds = 0;  // moving average, 0 before the first answer
   int consecutive_failures = 0;
   TimePoint ejected_until{};
   TimePoint shed_until{};
@@ -40,12 +40,13 @@
   std::vector<size_t> excluded;  // rows already tried
 };
 
-/** Targets of all services as one table, with what this daemon has seen of them.
+/** Targets of all services as one table, with what this daemon has seen of
+   them.
 
-    The choice samples two rows and takes the one with the lower expected time to
-    finish, from own requests in flight and observed latency. (Mitzenmacher, "The
-    Power of Two Choices in Randomized Load Balancing", IEEE TPDS 2001.) Load that
-    targets report about themselves is not used.
+    The choice samples two rows and takes the one with the lower expected time
+   to finish, from own requests in flight and observed latency. (Mitzenmacher,
+   "The Power of Two Choices in Randomized Load Balancing", IEEE TPDS 2001.)
+   Load that targets report about themselves is not used.
 
     One thread at a time; Steering holds the lock. */
 class TargetTable {
--- a/modules/gg_store/asio.h
+++ b/modules/gg_store/asio.h
@@ -1,7 +1,10 @@
 #ifndef GG_STORE_ASIO_H_
 #define GG_STORE_ASIO_H_
 
-#include <utility>  // used by Boost.Asio 1.74 without being included there
+// Boost.Asio 1.74 uses std::exchange without including it, so this comes first.
+// clang-format off
+#include <utility>
+// clang-format on
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/modules/gg_store/store_client.cc
+++ b/modules/gg_store/store_client.cc
@@ -3,6 +3,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <limits>
 
 #include "gg_core/errors.h"
 #include "gg_store/store_codec.h"
@@ -15,6 +16,9 @@
 
 constexpr size_t kMaxIdleConnections = 4;
 constexpr size_t kMaxAnswerBytes = 16 * 1024 * 1024;
+/** A watch has no end. (Beast of Boost 1.74 refuses every body when the limit
+   is boost::none.) */
+constexpr uint64_t kUnlimitedBody = std::numeric_limits<uint64_t>::max();
 constexpr size_t kWatchChunkBytes = 16 * 1024;
 
 http::request<http::string_body> MakeRequest(const std::string& path,
@@ -62,8 +66,8 @@
 
 asio::awaitable<absl::StatusOr<StoreRead>> StoreClient::GetPrefix(
     std::string prefix) {
-  const auto answer = co_await Call("/v3/kv/range",
-                                    EncodeRange(prefix, PrefixEnd(prefix)));
+  const auto answer =
+      co_await Call("/v3/kv/range", EncodeRange(prefix, PrefixEnd(prefix)));
   if (!answer.ok()) co_return answer.status();
   co_return DecodeRange(*answer, CurrentAddress());
 }
@@ -102,7 +106,7 @@
   co_await http::async_write(connection->stream, request, Await(&error));
   if (error) co_return failed(error);
   http::response_parser<http::buffer_body> parser;
-  parser.body_limit(boost::none);
+  parser.body_limit(kUnlimitedBody);
   connection->stream.expires_after(idle_limit);
   co_await http::async_read_header(connection->stream, connection->buffer,
                                    parser, Await(&error));
@@ -146,8 +150,7 @@
   }
   connection->stream.expires_after(options_.call_timeout);
   ErrorCode error;
-  const auto request =
-      MakeRequest(path, connection->address, std::move(body));
+  const auto request = MakeRequest(path, connection->address, std::move(body));
   co_await http::async_write(connection->stream, request, Await(&error));
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxAnswerBytes);
--- a/modules/gg_store/store_client.h
+++ b/modules/gg_store/store_client.h
@@ -16,9 +16,10 @@
 /** Client of the platform's key-value service.
 
     Every method is a coroutine on the io_context given at construction, from
-    which alone an instance may be used. Errors: kUnavailable when the call cannot
-    have reached the store; kUnknown when it was sent and no answer came, so that
-    it may have taken effect; kDataLoss for an answer that cannot be read. */
+    which alone an instance may be used. Errors: kUnavailable when the call
+   cannot have reached the store; kUnknown when it was sent and no answer came,
+   so that it may have taken effect; kDataLoss for an answer that cannot be
+   read. */
 class StoreClient {
  public:
   struct Options {
--- a/modules/gg_store/store_session.cc
+++ b/modules/gg_store/store_session.cc
@@ -20,9 +20,7 @@
       hooks_(std::move(hooks)),
       random_(options_.seed) {}
 
-void StoreSession::Start() {
-  asio::co_spawn(*context_, Run(), asio::detached);
-}
+void StoreSession::Start() { asio::co_spawn(*context_, Run(), asio::detached); }
 
 void StoreSession::SetWatching(bool watching) {
   watching_ = watching;
--- a/modules/gg_wire/frame_codec.cc
+++ b/modules/gg_wire/frame_codec.cc
@@ -12,7 +12,8 @@
 using flatbuffers::FlatBufferBuilder;
 using flatbuffers::Offset;
 
-/** Longest term that a loan may have; also keeps the sum with a time in range. */
+/** Longest term that a loan may have; also keeps the sum with a time in range.
+ */
 constexpr uint64_t kMaxLoanTermMs = 3'600'000;
 
 /** Most permits in one loan message. */
@@ -48,12 +49,12 @@
   FlatBufferBuilder* builder;
 
   EncodedBody operator()(const Heartbeat& m) const {
-    return {wire::Body::Heartbeat,
-            wire::CreateHeartbeat(*builder, m.members_digest,
-                                  m.document_revision, m.plan_revision,
-                                  m.slices_revision, m.hosts_revision,
-                                  m.wants_reply)
-                .Union()};
+    return {
+        wire::Body::Heartbeat,
+        wire::CreateHeartbeat(*builder, m.members_digest, m.document_revision,
+                              m.plan_revision, m.slices_revision,
+                              m.hosts_revision, m.wants_reply)
+            .Union()};
   }
   EncodedBody operator()(const MemberUpdate& m) const {
     std::vector<Offset<wire::MemberRecord>> records;
@@ -64,12 +65,12 @@
             wire::CreateMemberUpdateDirect(*builder, &records).Union()};
   }
   EncodedBody operator()(const StateRequest& m) const {
-    return {wire::Body::StateRequest,
-            wire::CreateStateRequest(*builder, m.wants_members,
-                                     m.wants_positions, m.document_revision,
-                                     m.plan_revision, m.slices_revision,
-                                     m.hosts_revision)
-                .Union()};
+    return {
+        wire::Body::StateRequest,
+        wire::CreateStateRequest(*builder, m.wants_members, m.wants_positions,
+                                 m.document_revision, m.plan_revision,
+                                 m.slices_revision, m.hosts_revision)
+            .Union()};
   }
   EncodedBody operator()(const DocumentUpdate& m) const {
     std::vector<Offset<flatbuffers::String>> order;
@@ -81,11 +82,11 @@
       changed.push_back(wire::CreateSectionDirect(
           *builder, section.name.c_str(), section.text.c_str()));
     }
-    return {wire::Body::DocumentUpdate,
-            wire::CreateDocumentUpdateDirect(*builder, m.base_revision,
-                                             m.revision, m.digest.c_str(),
-                                             &order, &changed)
-                .Union()};
+    return {
+        wire::Body::DocumentUpdate,
+        wire::CreateDocumentUpdateDirect(*builder, m.base_revision, m.revision,
+                                         m.digest.c_str(), &order, &changed)
+            .Union()};
   }
   EncodedBody operator()(const SharedValue& m) const {
     return {wire::Body::SharedValue,
@@ -117,11 +118,11 @@
   EncodedBody operator()(const LoanGrant& m) const {
     const auto term =
         std::chrono::duration_cast<std::chrono::milliseconds>(m.term);
-    return {wire::Body::LoanGrant,
-            wire::CreateLoanGrantDirect(*builder, m.id, m.region.c_str(),
-                                        m.permits,
-                                        static_cast<uint64_t>(term.count()))
-                .Union()};
+    return {
+        wire::Body::LoanGrant,
+        wire::CreateLoanGrantDirect(*builder, m.id, m.region.c_str(), m.permits,
+                                    static_cast<uint64_t>(term.count()))
+            .Union()};
   }
 };
 
@@ -178,8 +179,8 @@
   switch (frame.body_type()) {
     case wire::Body::Heartbeat: {
       const auto* m = frame.body_as_Heartbeat();
-      *message = Heartbeat{m->members_digest(),  m->document_revision(),
-                           m->plan_revision(),   m->slices_revision(),
+      *message = Heartbeat{m->members_digest(), m->document_revision(),
+                           m->plan_revision(),  m->slices_revision(),
                            m->hosts_revision(), m->wants_reply()};
       return true;
     }
@@ -233,8 +234,7 @@
 
 std::string EncodeFrame(const PeerFrame& frame) {
   FlatBufferBuilder builder;
-  const EncodedBody body =
-      std::visit(BodyEncoder{&builder}, frame.message);
+  const EncodedBody body = std::visit(BodyEncoder{&builder}, frame.message);
   const auto root = wire::CreateFrameDirect(
       builder, kPeerProtocolVersion, frame.deployment.c_str(),
       frame.from.address.c_str(), frame.from.incarnation, body.type,
@@ -246,8 +246,7 @@
   for (const unsigned shift : {24U, 16U, 8U, 0U}) {
     bytes.push_back(static_cast<char>((size >> shift) & 0xffU));
   }
-  bytes.append(reinterpret_cast<const char*>(builder.GetBufferPointer()),
-               size);
+  bytes.append(reinterpret_cast<const char*>(builder.GetBufferPointer()), size);
   return bytes;
 }
 
@@ -258,8 +257,8 @@
     size = (size << 8U) | static_cast<unsigned char>(c);
   }
   if (size == 0 || size > kMaxFrameBytes) {
-    return StepError(absl::StatusCode::kInvalidArgument, Step::kPeerFrame,
-                     peer, "frame size out of range");
+    return StepError(absl::StatusCode::kInvalidArgument, Step::kPeerFrame, peer,
+                     "frame size out of range");
   }
   return size;
 }
@@ -270,8 +269,8 @@
   const auto refuse = [&](absl::StatusCode code, std::string_view what) {
     return StepError(code, Step::kPeerFrame, peer, what);
   };
-  flatbuffers::Verifier verifier(
-      reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size());
+  flatbuffers::Verifier verifier(reinterpret_cast<const uint8_t*>(bytes.data()),
+                                 bytes.size());
   if (!wire::VerifyFrameBuffer(verifier)) {
     return refuse(absl::StatusCode::kInvalidArgument, "broken frame");
   }
--- a/modules/gg_wire/frame_codec.h
+++ b/modules/gg_wire/frame_codec.h
@@ -33,16 +33,16 @@
 /** Returns the prefix and the frame as they go onto a stream. */
 std::string EncodeFrame(const PeerFrame& frame);
 
-/** Returns the size that a prefix announces; kInvalidArgument when it is zero or
-    over kMaxFrameBytes.
+/** Returns the size that a prefix announces; kInvalidArgument when it is zero
+   or over kMaxFrameBytes.
     @param prefix  exactly kFramePrefixBytes bytes.
     @param peer  address for the error. */
 absl::StatusOr<size_t> DecodeFramePrefix(std::string_view prefix,
                                          std::string_view peer);
 
 /** Decodes a frame without its prefix. The bytes are verified first: any input
-    is safe. kInvalidArgument for a broken frame, kFailedPrecondition for another
-    version or deployment.
+    is safe. kInvalidArgument for a broken frame, kFailedPrecondition for
+   another version or deployment.
     @param deployment  the one deployment to accept.
     @param peer  address for the error. */
 absl::StatusOr<PeerFrame> DecodeFrame(std::string_view bytes,
--- a/modules/gg_wire/gg_wire.h
+++ b/modules/gg_wire/gg_wire.h
@@ -4,9 +4,9 @@
 /** @file
     gg_wire: frames between daemons.
 
-    Purpose: turns typed peer messages into FlatBuffers frames and verified frames
-    back into messages.
-    Depends on: gg_core, gg_steering (for the message types).
+    Purpose: turns typed peer messages into FlatBuffers frames and verified
+   frames back into messages. Depends on: gg_core, gg_steering (for the message
+   types).
 */
 
 #include "gg_wire/frame_codec.h"
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Checks formatting and lints. Units with coroutines are formatted but not linted:
+# clang-tidy 14 cannot read coroutines of libstdc++ 12.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+mapfile -t files < <(git ls-files '*.cc' '*.h' | grep -v generated)
+clang-format --dry-run -Werror "${files[@]}"
+mapfile -t units < <(grep -L -E 'gg_store/asio.h|gg_http/|awaitable|gg_store/store_(client|session).h|gg_daemon/|unit/' \
+  $(git ls-files 'modules/*.cc' 'apps/*.cc'))
+echo "linting ${#units[@]} units"
+printf '%s\n' "${units[@]}" |
+  xargs -P "$(nproc)" -n 2 clang-tidy --quiet -p build 2> /dev/null
+echo "format and lint clean"
--- /dev/null
+++ b/tests/unit/editor_test.cc
@@ -0,0 +1,179 @@
+#include <map>
+
+#include "gg_ctl/gg_ctl.h"
+#include "gg_document/gg_document.h"
+#include "unit/sample_document.h"
+#include "unit/test_support.h"
+
+namespace greengage {
+namespace {
+
+/** Store of one process, with answers that can be lost. */
+struct FakeStore {
+  std::map<std::string, StoreEntry> entries;
+  uint64_t revision = 1;
+  int lose_answers = 0;
+  bool unreachable = false;
+  std::function<void()> before_swap;
+
+  absl::StatusOr<StoreRead> Get(const std::string& key) {
+    StoreRead read{.store_revision = revision};
+    const auto found = entries.find(key);
+    if (found != entries.end()) read.entries.push_back(found->second);
+    return read;
+  }
+
+  absl::StatusOr<StoreRead> GetPrefix(const std::string& prefix) {
+    StoreRead read{.store_revision = revision};
+    for (const auto& [key, entry] : entries) {
+      if (key.rfind(prefix, 0) == 0) read.entries.push_back(entry);
+    }
+    return read;
+  }
+
+  absl::StatusOr<StoreSwapResult> Swap(const StoreSwap& swap) {
+    if (unreachable) return absl::UnavailableError("no store");
+    if (before_swap) std::exchange(before_swap, nullptr)();
+    const auto found = entries.find(swap.key);
+    const uint64_t current =
+        found == entries.end() ? 0 : found->second.mod_revision;
+    StoreSwapResult result;
+    if (current == swap.expected_revision) {
+      result.succeeded = true;
+      result.revision = ++revision;
+      for (const StorePut& put : swap.puts) {
+        entries[put.key] = {put.key, put.value, revision};
+      }
+    }
+    if (lose_answers > 0) {
+      --lose_answers;
+      return absl::UnknownError("answer lost");
+    }
+    return result;
+  }
+
+  EditorStore Hooks() {
+    return {[this](const std::string& key) { return Get(key); },
+            [this](const std::string& prefix) { return GetPrefix(prefix); },
+            [this](const StoreSwap& swap) { return Swap(swap); }};
+  }
+};
+
+TEST_GROUP(DocumentEditor) {
+  FakeStore store;
+  int edits = 0;
+  DocumentEditor editor{
+      {.deployment = "sample",
+       .store = store.Hooks(),
+       .new_edit_id = [this] { return "e" + std::to_string(++edits); },
+       .time_now = [] { return std::string("now"); }}};
+
+  void setup() override {
+    CHECK_TRUE(editor.Create(SampleDocument(), "ops").ok());
+  }
+
+  std::string Section(const std::string& name) {
+    const auto sections = SplitSections(editor.Read()->text);
+    return FindSection(sections, name)->text;
+  }
+
+  SectionEdit EditOf(const std::string& from, const std::string& to,
+                     const std::string& section = "shop") {
+    std::string text = Section(section);
+    text.replace(text.find(from), from.size(), to);
+    return {.section = section, .text = text, .who = "me", .reason = "why"};
+  }
+};
+
+TEST(DocumentEditor, SecondCreateIsRefused) {
+  const auto again = editor.Create(SampleDocument(), "ops");
+  CHECK_TRUE(again.status().code() == absl::StatusCode::kAlreadyExists);
+}
+
+TEST(DocumentEditor, EditOfAnotherSectionInBetweenIsKept) {
+  const SectionEdit mine = EditOf("cap: 0.2", "cap: 0.1");
+  const SectionEdit theirs = EditOf("slices: 24", "slices: 48", "platform");
+  store.before_swap = [&] { CHECK_TRUE(editor.Apply(theirs).ok()); };
+  CHECK_TRUE(editor.Apply(mine).ok());
+  CHECK_TRUE(Contains(Section("shop"), "cap: 0.1"));
+  CHECK_TRUE(Contains(Section("platform"), "slices: 48"));
+}
+
+TEST(DocumentEditor, EditOfTheSameSectionInBetweenIsToldAndLosesNothing) {
+  const SectionEdit mine = EditOf("cap: 0.2", "cap: 0.1");
+  const SectionEdit theirs = EditOf("cap: 0.2", "cap: 0.3");
+  store.before_swap = [&] { CHECK_TRUE(editor.Apply(theirs).ok()); };
+  const auto result = editor.Apply(mine);
+  CHECK_TRUE(result.status().code() == absl::StatusCode::kAborted);
+  CHECK_TRUE(Contains(MessageOf(result.status()), "cap: 0.3"));
+  CHECK_TRUE(Contains(Section("shop"), "cap: 0.3"));
+}
+
+TEST(DocumentEditor, LostAnswerIsFoundByTheEditsIdentity) {
+  store.lose_answers = 1;
+  const auto result = editor.Apply(EditOf("cap: 0.2", "cap: 0.1"));
+  CHECK_TRUE_TEXT(result.ok(), MessageOf(result.status()).c_str());
+  LONGS_EQUAL(store.revision, result->revision);
+  LONGS_EQUAL(2, editor.Audit()->size());
+}
+
+TEST(DocumentEditor, LostAnswerThenOtherEditIsStillReportedAccepted) {
+  const SectionEdit theirs = EditOf("slices: 24", "slices: 48", "platform");
+  store.lose_answers = 1;
+  const auto result = editor.Apply(EditOf("cap: 0.2", "cap: 0.1"));
+  CHECK_TRUE(result.ok());
+  CHECK_TRUE(editor.Apply(theirs).ok());
+  LONGS_EQUAL(3, editor.Audit()->size());
+}
+
+TEST(DocumentEditor, UnreachableStoreIsReportedAsNotSent) {
+  store.unreachable = true;
+  const auto result = editor.Apply(EditOf("cap: 0.2", "cap: 0.1"));
+  CHECK_TRUE(result.status().code() == absl::StatusCode::kUnavailable);
+}
+
+TEST(DocumentEditor, InvalidEditLeavesTheDocument) {
+  const auto result = editor.Apply(EditOf("cap: 0.2", "cap: -1"));
+  CHECK_TRUE(result.status().code() == absl::StatusCode::kInvalidArgument);
+  CHECK_TRUE(Contains(Section("shop"), "cap: 0.2"));
+}
+
+TEST(DocumentEditor, AuditTellsWhoWhatAndWhy) {
+  CHECK_TRUE(editor.Apply(EditOf("cap: 0.2", "cap: 0.1")).ok());
+  const auto trail = editor.Audit();
+  STRCMP_EQUAL("me", trail->back().who.c_str());
+  STRCMP_EQUAL("why", trail->back().reason.c_str());
+  CHECK_TRUE(Contains(trail->back().old_text, "cap: 0.2"));
+  CHECK_TRUE(Contains(trail->back().new_text, "cap: 0.1"));
+}
+
+TEST_GROUP(TargetEdit){};
+
+TEST(TargetEdit, FlowTargetIsMarkedAndTakenBack) {
+  const std::string text =
+      "shop:\n  targets:\n    - {name: a, slots: 1}  # first\n    - {name: "
+      "b}\n";
+  const auto marked = SetTargetLeaving(text, "shop", "b", true);
+  CHECK_TRUE(marked.ok());
+  CHECK_TRUE(Contains(*marked, "{leaving: true, name: b}"));
+  CHECK_TRUE(Contains(*marked, "{name: a, slots: 1}  # first"));
+  const auto back = SetTargetLeaving(*marked, "shop", "b", false);
+  CHECK_TRUE(Contains(*back, "{leaving: false, name: b}"));
+}
+
+TEST(TargetEdit, BlockTargetIsMarked) {
+  const std::string text = "shop:\n  targets:\n    - name: a\n      slots: 1\n";
+  const auto marked = SetTargetLeaving(text, "shop", "a", true);
+  STRCMP_EQUAL(
+      "shop:\n  targets:\n    - leaving: true\n      name: a\n      slots: 1\n",
+      marked->c_str());
+}
+
+TEST(TargetEdit, UnknownTargetIsNotFound) {
+  const auto marked =
+      SetTargetLeaving("shop:\n  targets: []\n", "shop", "a", true);
+  CHECK_TRUE(marked.status().code() == absl::StatusCode::kNotFound);
+}
+
+}  // namespace
+}  // namespace greengage
--- /dev/null
+++ b/tests/unit/fleet.h
@@ -0,0 +1,135 @@
+#ifndef TESTS_UNIT_FLEET_H_
+#define TESTS_UNIT_FLEET_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gg_steering/gg_steering.h"
+
+namespace greengage {
+
+/** Control logic of several daemons in one process and in virtual time, with a
+    fake store and a network that may delay, lose and repeat messages. Every
+   choice follows from the seed. */
+class Fleet {
+ public:
+  struct Options {
+    int hosts = 5;
+    uint64_t seed = 1;
+    double loss = 0;
+    double repeat = 0;
+    Duration shortest_delay = std::chrono::milliseconds(1);
+    Duration longest_delay = std::chrono::milliseconds(40);
+    Duration tick = std::chrono::milliseconds(100);
+    std::string document;
+    std::vector<std::string> zones;  // host i is in zone i modulo their number
+    std::function<std::string(const std::string& zone)> region_of;
+    BudgetTable::Options budget;
+    std::function<void(Controller::Options* options)> adjust;
+    /** Called for each message that is sent, before it may be lost. */
+    std::function<void(const PeerMessage& message)> on_send;
+  };
+
+  /** One daemon; `controller` is null while its process is dead. */
+  struct Host {
+    int index = 0;
+    HostId id;
+    MemberRecord record;
+    std::unique_ptr<Steering> steering;
+    std::unique_ptr<Controller> controller;
+    TimePoint next_tick{};
+    bool frozen = false;
+    bool watching = false;
+    bool is_store_known_up = false;
+    int group = 0;  // hosts of different groups cannot talk
+    bool store_cut = false;
+    std::vector<std::function<void()>> held;  // what came while frozen
+  };
+
+  /** A request that runs at a target. */
+  struct Running {
+    int host = 0;
+    uint64_t incarnation = 0;
+    Admission admission;
+    TimePoint ends{};
+    bool cancelled_with_host = false;
+  };
+
+  explicit Fleet(Options options);
+
+  //==============================================================================
+  /** Lets `duration` pass; `after_each` is called after every event. */
+  void Run(Duration duration, const std::function<void()>& after_each = {});
+
+  void Kill(int host);
+  void Restart(int host);
+  void Freeze(int host) { hosts_[host].frozen = true; }
+  void Thaw(int host);
+
+  //==============================================================================
+  void SetStoreUp(bool up);
+  void WriteDocument(const std::string& text);
+  void WriteStore(SharedKey key, const std::string& text);
+  uint64_t store_revision(SharedKey key) { return store_[key].revision; }
+  const std::string& store_text(SharedKey key) { return store_[key].text; }
+  int64_t store_calls() const { return store_calls_; }
+
+  //==============================================================================
+  /** Starts a request at a host; false when it is refused. A bounded one ends
+      within its route's time limit, an unbounded one after `length`. */
+  bool StartRequest(int host, const std::string& path, Duration length);
+
+  /** Returns how many requests run in a region, whoever started them. */
+  int64_t RunningIn(const std::string& region) const;
+  int64_t running() const { return static_cast<int64_t>(running_.size()); }
+
+  //==============================================================================
+  std::vector<Host>& hosts() { return hosts_; }
+  Random& random() { return random_; }
+  TimePoint now() const { return now_; }
+  const Document& document() const { return *document_; }
+
+ private:
+  struct Pending {
+    TimePoint due{};
+    uint64_t order = 0;
+    std::function<void()> action;
+    friend bool operator<(const Pending& a, const Pending& b) {
+      return std::tie(a.due, a.order) > std::tie(b.due, b.order);
+    }
+  };
+
+  void StartProcess(Host* host);
+  ControllerHooks MakeHooks(int host);
+  void Later(Duration delay, std::function<void()> action);
+  Duration Delay();
+  void Deliver(int host, uint64_t incarnation, std::function<void(Host*)> act);
+  void Send(int from, const std::string& address, const PeerMessage& message);
+  void WriteFrom(int host, const StoreWrite& write);
+  void ReadAll(int host);
+  void NotifyWatchers(SharedKey key);
+  void EndRequests();
+
+  Options options_;
+  Random random_;
+  TimePoint now_{};
+  uint64_t order_ = 0;
+  uint64_t revision_ = 1;
+  uint64_t next_incarnation_ = 1;
+  bool store_up_ = true;
+  int64_t store_calls_ = 0;
+  std::map<SharedKey, StoreValue> store_;
+  std::vector<Host> hosts_;
+  std::map<std::string, int> host_by_address_;
+  std::vector<Pending> pending_;  // heap
+  std::vector<Running> running_;
+  DocumentPtr document_;
+};
+
+}  // namespace greengage
+
+#endif  // TESTS_UNIT_FLEET_H_
--- /dev/null
+++ b/tests/unit/steering_test.cc
@@ -0,0 +1,430 @@
+#include "gg_core/gg_core.h"
+#include "gg_document/document_parser.h"
+#include "gg_steering/gg_steering.h"
+#include "unit/sample_document.h"
+#include "unit/test_support.h"
+
+namespace greengage {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint kStart{std::chrono::hours(1)};
+
+TEST_GROUP(BudgetTable) {
+  BudgetTable table{BudgetTable::Options{.reserve_fraction = 0}};
+  PermitRequest bounded{.region = "r", .time_limit = seconds(2)};
+  PermitRequest unbounded{.region = "r"};
+};
+
+TEST(BudgetTable, AcquireBeyondOwnRefused) {
+  table.SetOwn("r", 2);
+  CHECK_TRUE(table.Acquire(bounded, kStart).has_value());
+  const auto second = table.Acquire(bounded, kStart);
+  CHECK_TRUE(second.has_value());
+  CHECK_FALSE(table.Acquire(bounded, kStart).has_value());
+  table.Release(*second);
+  CHECK_TRUE(table.Acquire(bounded, kStart).has_value());
+}
+
+TEST(BudgetTable, LentPermitsStayAwayUntilTermAndMarginEnd) {
+  table.SetOwn("r", 4);
+  const auto offer = table.Lend("r", 10, kStart);
+  LONGS_EQUAL(2, offer->permits);
+  table.Expire(kStart + offer->term);
+  LONGS_EQUAL(2, table.Usage("r").limit());
+  table.Expire(kStart + offer->term + table.options().loan_margin);
+  LONGS_EQUAL(4, table.Usage("r").limit());
+}
+
+TEST(BudgetTable, LoanServesOnlyRequestsThatEndWithinIt) {
+  CHECK_TRUE(table.AddLoan({1, "r", 1, kStart + seconds(3)}, kStart));
+  CHECK_FALSE(table.Acquire(unbounded, kStart).has_value());
+  CHECK_FALSE(table.Acquire(bounded, kStart + milliseconds(1500)).has_value());
+  CHECK_TRUE(table.Acquire(bounded, kStart + seconds(1)).has_value());
+}
+
+TEST(BudgetTable, RepeatedLoanCountsOnce) {
+  CHECK_TRUE(table.AddLoan({1, "r", 1, kStart + seconds(3)}, kStart));
+  CHECK_FALSE(table.AddLoan({1, "r", 1, kStart + seconds(3)}, kStart));
+  LONGS_EQUAL(1, table.Usage("r").borrowed);
+}
+
+TEST(BudgetTable, ReserveIsForTheMostValuable) {
+  BudgetTable reserved{BudgetTable::Options{.reserve_fraction = 0.1}};
+  reserved.SetOwn("r", 2);
+  CHECK_TRUE(reserved.Acquire(bounded, kStart).has_value());
+  CHECK_FALSE(reserved.Acquire(bounded, kStart).has_value());
+  PermitRequest valuable = bounded;
+  valuable.may_use_reserve = true;
+  CHECK_TRUE(reserved.Acquire(valuable, kStart).has_value());
+}
+
+TEST_GROUP(SliceTable){};
+
+TEST(SliceTable, PermitsOfAllSlicesAddUpToTheCapacity) {
+  for (const int64_t capacity : {1, 7, 62, 110, 1000}) {
+    int64_t sum = 0;
+    for (int64_t i = 0; i < 66; ++i) {
+      sum += SlicePermits(capacity, 66, i, Hash64("bizkaia"));
+    }
+    LONGS_EQUAL(capacity, sum);
+  }
+}
+
+TEST(SliceTable, ClaimTakesOwnEarlierIncarnationAndFreeOnes) {
+  SliceTable table{{{"a", 1}, {"b", 1}, {}, {}}};
+  const SliceTable next =
+      PlanSliceClaim(table, {.self = {"a", 2}, .slices = 4, .members = 2});
+  LONGS_EQUAL(2, OwnedSlices(next, {"a", 2}));
+  LONGS_EQUAL(0, OwnedSlices(next, {"a", 1}));
+  LONGS_EQUAL(1, OwnedSlices(next, {"b", 1}));
+}
+
+TEST(SliceTable, ClaimTakesNothingFromTheLiving) {
+  SliceTable table{{{"b", 1}, {"b", 1}}};
+  CHECK_TRUE(PlanSliceClaim(table, {.self = {"a", 2}, .members = 2}) == table);
+}
+
+TEST(SliceTable, JsonRoundTripKeepsTheTable) {
+  const SliceTable table{{{"a", 7}, {}, {"10.0.0.1:7000", 1796363482073088}}};
+  CHECK_TRUE(*SliceTableFromJson(SliceTableToJson(table)) == table);
+  CHECK_FALSE(SliceTableFromJson("{\"owners\":[[1]]}").ok());
+  CHECK_FALSE(SliceTableFromJson("nonsense").ok());
+}
+
+TEST_GROUP(RampPlan) {
+  DocumentPtr document =
+      *ParseDocument(SampleDocument("{north: 0.0, south: 1.0}"));
+  RampPlan plan{
+      {{"shop",
+        {1, {{"north", {{"north", 1.0}}}, {"south", {{"south", 1.0}}}}}}}};
+};
+
+TEST(RampPlan, JsonRoundTripKeepsThePlan) {
+  const auto read = RampPlanFromJson(RampPlanToJson(plan));
+  CHECK_TRUE_TEXT(read.ok(), MessageOf(read.status()).c_str());
+  CHECK_TRUE(*read == plan);
+  CHECK_FALSE(RampPlanFromJson("{\"shop\": 3}").ok());
+}
+
+TEST(RampPlan, NextStepWaitsForItsIntervalAndIsSmall) {
+  const PlanSightings seen{{"shop", kStart}};
+  CHECK_TRUE(NextPlan(plan, *document, seen, kStart + seconds(4)) == plan);
+  const RampPlan next = NextPlan(plan, *document, seen, kStart + seconds(5));
+  LONGS_EQUAL(2, next.services.at("shop").step);
+  DOUBLES_EQUAL(kPlanStepShare * 0.2,
+                ShiftSize(plan.services.at("shop").split.at("north"),
+                          next.services.at("shop").split.at("north")),
+                1e-9);
+}
+
+TEST(RampPlan, UnseenPositionIsNotMoved) {
+  CHECK_TRUE(NextPlan(plan, *document, {}, kStart + seconds(500)) == plan);
+}
+
+TEST_GROUP(ShiftLimiter) {
+  const ShiftSpec spec{0.2, seconds(20)};
+  const RegionSplit start{{"north", 1.0}};
+  const RegionSplit goal{{"south", 1.0}};
+};
+
+TEST(ShiftLimiter, MovePerWindowStaysUnderTheCap) {
+  ShiftLimiter limiter(start, kStart);
+  std::vector<double> moved;
+  for (int i = 1; i <= 1200; ++i) {
+    moved.push_back(
+        limiter.Advance(goal, spec, kStart + milliseconds(100) * i));
+  }
+  for (size_t i = 0; i + 200 <= moved.size(); ++i) {
+    double sum = 0;
+    for (size_t j = i; j < i + 200; ++j) sum += moved[j];
+    CHECK_TRUE(sum <= spec.cap);
+  }
+  CHECK_TRUE(limiter.split().at("south") > 0.9);
+}
+
+TEST(ShiftLimiter, PauseIsNotMadeUpFor) {
+  ShiftLimiter limiter(start, kStart);
+  const double moved = limiter.Advance(goal, spec, kStart + seconds(3600));
+  CHECK_TRUE(moved <= spec.cap / 20 + 1e-9);
+}
+
+TEST(ShiftLimiter, PicksFollowTheSplit) {
+  ShiftLimiter limiter({{"a", 0.7}, {"b", 0.2}, {"c", 0.1}, {"d", 0}}, kStart);
+  std::map<std::string, int> picks;
+  for (int i = 0; i < 100; ++i) ++picks[limiter.PickRegion()];
+  LONGS_EQUAL(70, picks["a"]);
+  LONGS_EQUAL(20, picks["b"]);
+  LONGS_EQUAL(10, picks["c"]);
+  LONGS_EQUAL(0, picks["d"]);
+}
+
+TEST_GROUP(OrderLedger) {
+  OrderLedger ledger{{.max_orders = 2, .max_body_bytes = 10}};
+  OrderAnswer answer;
+  const TimePoint later = kStart + seconds(10);
+};
+
+TEST(OrderLedger, SecondBeginFindsTheFirst) {
+  CHECK_TRUE(ledger.Begin("k", later, &answer) == OrderBegin::kStarted);
+  CHECK_TRUE(ledger.Begin("k", later, &answer) == OrderBegin::kRunning);
+  ledger.Complete("k", {200, "text/plain", "done", true});
+  CHECK_TRUE(ledger.Begin("k", later, &answer) == OrderBegin::kAnswered);
+  STRCMP_EQUAL("done", answer.body.c_str());
+}
+
+TEST(OrderLedger, UnknownIsNeverStartedAgain) {
+  ledger.Begin("k", later, &answer);
+  ledger.MarkUnknown("k");
+  CHECK_TRUE(ledger.Begin("k", later, &answer) == OrderBegin::kUnknown);
+}
+
+TEST(OrderLedger, AbandonedMayStartAgain) {
+  ledger.Begin("k", later, &answer);
+  ledger.Abandon("k");
+  CHECK_TRUE(ledger.Begin("k", later, &answer) == OrderBegin::kStarted);
+}
+
+TEST(OrderLedger, FullRefusesNewAndKeepsOld) {
+  ledger.Begin("a", later, &answer);
+  ledger.Begin("b", later, &answer);
+  CHECK_TRUE(ledger.Begin("c", later, &answer) == OrderBegin::kFull);
+  CHECK_TRUE(ledger.Begin("a", later, &answer) == OrderBegin::kRunning);
+}
+
+TEST(OrderLedger, ExpireForgetsAllButTheRunning) {
+  ledger.Begin("a", later, &answer);
+  ledger.Begin("b", later, &answer);
+  ledger.Complete("b", {200, "", "0123456789ab", true});
+  CHECK_TRUE(ledger.Begin("b", later, &answer) == OrderBegin::kAnswered);
+  CHECK_FALSE(answer.body_kept);
+  ledger.Expire(later);
+  LONGS_EQUAL(1, ledger.size());
+}
+
+TEST_GROUP(OrderKey){};
+
+TEST(OrderKey, FormatAndParseAgree) {
+  OrderKey key{"10.0.0.1:8080", 1796363482073088, 12, 600, 0};
+  key.check = OrderKeyCheck(key, 99);
+  const auto parsed = ParseOrderKey(FormatOrderKey(key));
+  CHECK_TRUE(parsed.has_value());
+  CHECK_TRUE(*parsed == key);
+  CHECK_FALSE(OrderKeyCheck(key, 98) == key.check);
+  CHECK_FALSE(ParseOrderKey("my-own-key").has_value());
+  CHECK_FALSE(ParseOrderKey("gg1-a-b-c-d-e").has_value());
+}
+
+TEST_GROUP(TargetTable) {
+  TargetTable table{{}};
+  Random random{7};
+  DocumentPtr document = *ParseDocument(SampleDocument());
+  void setup() override { table.Apply(*document, kStart); }
+  std::optional<size_t> Choose(std::vector<size_t> excluded = {}) {
+    return table.Choose({"shop", "north", std::move(excluded)}, &random,
+                        kStart);
+  }
+};
+
+TEST(TargetTable, ChoiceStaysInRegionAndSkipsExcluded) {
+  const auto first = Choose();
+  STRCMP_EQUAL("north", table.row(*first).region.c_str());
+  const auto second = Choose({*first});
+  CHECK_FALSE(*first == *second);
+  CHECK_FALSE(Choose({*first, *second}).has_value());
+}
+
+TEST(TargetTable, LeavingTargetGetsNothing) {
+  std::string text = SampleDocument();
+  text.replace(text.find("{name: n1"), 9, "{leaving: true, name: n1");
+  table.Apply(**ParseDocument(text), kStart);
+  for (int i = 0; i < 50; ++i) {
+    STRCMP_EQUAL("n2", table.row(*Choose()).spec.name.c_str());
+  }
+}
+
+TEST(TargetTable, FailingTargetIsEjectedAndRestored) {
+  TargetChange change = TargetChange::kNone;
+  size_t failing = 0;
+  for (int i = 0; i < 3; ++i) {
+    failing = 0;
+    while (table.row(failing).spec.name != "n1") ++failing;
+    std::optional<size_t> chosen;
+    do {
+      if (chosen) {
+        table.Finish(*chosen, AttemptResult::kAnswered, milliseconds(1),
+                     kStart);
+      }
+      chosen = Choose();
+    } while (*chosen != failing);
+    change =
+        table.Finish(failing, AttemptResult::kFailed, milliseconds(1), kStart);
+  }
+  CHECK_TRUE(change == TargetChange::kEjected);
+  for (int i = 0; i < 20; ++i) CHECK_FALSE(*Choose() == failing);
+  const auto back =
+      table.Choose({"shop", "north", {1, 2}}, &random, kStart + seconds(6));
+  LONGS_EQUAL(failing, *back);
+  CHECK_TRUE(table.Finish(*back, AttemptResult::kAnswered, milliseconds(1),
+                          kStart + seconds(6)) == TargetChange::kRestored);
+}
+
+TEST_GROUP(RetryBudget){};
+
+TEST(RetryBudget, RetriesStayAFractionOfAttempts) {
+  RetryBudget budget{{.fraction = 0.1, .burst = 10}};
+  int retries = 0;
+  for (int i = 0; i < 1000; ++i) {
+    budget.OnAttempt();
+    if (budget.TryTake()) ++retries;
+  }
+  CHECK_TRUE(retries <= 110);
+  CHECK_TRUE(retries >= 100);
+}
+
+TEST_GROUP(RateLimiter){};
+
+TEST(RateLimiter, BytesInAnyWindowStayUnderRateAndBurst) {
+  RateLimiter limiter;
+  limiter.SetRate(1'000'000);
+  TimePoint now = kStart;
+  int64_t sent = 0;
+  while (now < kStart + seconds(10)) {
+    const Duration wait = limiter.TryReserve(65536, now);
+    if (wait == Duration::zero()) {
+      sent += 65536;
+    } else {
+      now += wait;
+    }
+  }
+  CHECK_TRUE(sent <= 10'000'000 + 50'000 + 65536);
+  CHECK_TRUE(sent >= 9'800'000);
+}
+
+TEST(RateLimiter, NoRateSendsNothing) {
+  RateLimiter limiter;
+  limiter.SetRate(0);
+  CHECK_TRUE(limiter.TryReserve(1, kStart) > Duration::zero());
+  CHECK_TRUE(limiter.TryReserve(1, kStart + seconds(60)) > Duration::zero());
+}
+
+TEST_GROUP(Overlay){};
+
+TEST(Overlay, NeighboursAreSymmetricAndFew) {
+  std::vector<OverlayNode> nodes;
+  for (int i = 0; i < 870; ++i) {
+    nodes.push_back({"10.0." + std::to_string(i / 250) + "." +
+                         std::to_string(i % 250) + ":7000",
+                     "zone-" + std::to_string(i % 11)});
+  }
+  std::map<std::string, std::set<std::string>> neighbours;
+  for (const OverlayNode& node : nodes) {
+    const auto list = OverlayNeighbours(nodes, node.address, {});
+    neighbours[node.address] = {list.begin(), list.end()};
+    CHECK_TRUE(list.size() >= 4 && list.size() <= 6);
+  }
+  for (const auto& [address, list] : neighbours) {
+    for (const std::string& other : list) {
+      CHECK_TRUE(neighbours[other].count(address) == 1);
+    }
+  }
+}
+
+TEST_GROUP(Lookup) {
+  std::vector<MemberRecord> members;
+  void setup() override {
+    for (int i = 0; i < 10; ++i) {
+      const std::string address = "10.0.0." + std::to_string(i);
+      members.push_back({.id = {address + ":7000", 1},
+                         .traffic_address = address + ":80",
+                         .zone = "z",
+                         .region = i < 5 ? "north" : "south"});
+    }
+  }
+  std::vector<MemberRecord> Ask(uint32_t client) {
+    return ChooseEntryHosts(
+        members, {.service = "shop", .client = client, .home_region = "north"});
+  }
+};
+
+TEST(Lookup, HomeRegionComesFirst) {
+  for (const MemberRecord& host : Ask(0x0a010101)) {
+    STRCMP_EQUAL("north", host.region.c_str());
+  }
+}
+
+TEST(Lookup, LeavingAndSuspectHostsAreNotNamed) {
+  members[0].state = MemberState::kLeaving;
+  members[1].state = MemberState::kSuspect;
+  for (uint32_t block = 0; block < 200; ++block) {
+    for (const MemberRecord& host : Ask(block << 8U)) {
+      CHECK_TRUE(host.state == MemberState::kAlive);
+    }
+  }
+}
+
+TEST(Lookup, SuspectsAreNamedWhenNobodyElseIsLeft) {
+  for (MemberRecord& member : members) member.state = MemberState::kSuspect;
+  LONGS_EQUAL(3, Ask(1).size());
+}
+
+TEST(Lookup, RemovalMovesOnlyBlocksOfTheRemoved) {
+  std::map<uint32_t, std::string> before;
+  for (uint32_t block = 0; block < 1000; ++block) {
+    before[block] = Ask(block << 8U)[0].traffic_address;
+  }
+  const std::string gone = members[2].traffic_address;
+  members.erase(members.begin() + 2);
+  for (const auto& [block, first] : before) {
+    if (first != gone) {
+      STRCMP_EQUAL(first.c_str(), Ask(block << 8U)[0].traffic_address.c_str());
+    }
+  }
+}
+
+TEST_GROUP(Membership) {
+  MemberRecord Record(const std::string& address) {
+    return {.id = {address, 1},
+            .traffic_address = address,
+            .zone = "z",
+            .region = "r"};
+  }
+  Membership membership{{.self = Record("a")}, kStart};
+};
+
+TEST(Membership, SilentNeighbourBecomesSuspectThenRemoved) {
+  membership.Merge(Record("b"), kStart);
+  for (int i = 0; i < 400; ++i) membership.Tick(kStart + milliseconds(100) * i);
+  LONGS_EQUAL(1, membership.Members().size());
+  LONGS_EQUAL(2, membership.AllRecords().size());
+}
+
+TEST(Membership, SuspectedDaemonRefutesWithHigherVersion) {
+  MemberRecord claim = Record("a");
+  claim.state = MemberState::kSuspect;
+  CHECK_TRUE(membership.Merge(claim, kStart));
+  CHECK_TRUE(membership.self().state == MemberState::kAlive);
+  LONGS_EQUAL(1, membership.self().version);
+}
+
+TEST(Membership, PausedDaemonSuspectsNobodyAtOnce) {
+  membership.Merge(Record("b"), kStart);
+  membership.Tick(kStart + milliseconds(100));
+  membership.Tick(kStart + seconds(60));
+  LONGS_EQUAL(2, membership.LivingCount());
+}
+
+TEST(Membership, OlderIncarnationIsIgnored) {
+  MemberRecord newer = Record("b");
+  newer.id.incarnation = 5;
+  membership.Merge(newer, kStart);
+  MemberRecord older = Record("b");
+  older.version = 9;
+  older.state = MemberState::kSuspect;
+  CHECK_FALSE(membership.Merge(older, kStart));
+}
+
+}  // namespace
+}  // namespace greengage
