Take no result from a conditional operator over two awaits

Cause: a request whose chunked body was broken closed the connection without an answer. A debugger caught an exception inside Status::GetPayload: GCC 12 destroys the result twice when a conditional operator chooses between two awaits. Ruled out: the parser (fed the same bytes it reports a bad chunk), the linger. Change: if/else in place of the operator in both places; HEAD follows GET routes; what a connection's coroutine throws is logged (E602) and its permit returned. Before: scenario.whole_answers failed at the broken chunk. After: it holds.

--- a/modules/gg_core/event.cc
+++ b/modules/gg_core/event.cc
@@ -45,6 +45,7 @@
       {Event::kRegionRecovered, "region_recovered"},
       {Event::kRequestRefused, "request_refused"},
       {Event::kRequestFailed, "request_failed"},
+      {Event::kInternalError, "internal_error"},
       {Event::kTargetEjected, "target_ejected"},
       {Event::kTargetRestored, "target_restored"},
   };
--- a/modules/gg_core/event.h
+++ b/modules/gg_core/event.h
@@ -40,6 +40,7 @@
   kRegionRecovered = 531,
   kRequestRefused = 600,
   kRequestFailed = 601,
+  kInternalError = 602,
   kTargetEjected = 610,
   kTargetRestored = 611,
 };
--- a/modules/gg_document/document.cc
+++ b/modules/gg_document/document.cc
@@ -19,9 +19,12 @@
   return (block.network >> shift) == (address >> shift);
 }
 
+/** HEAD goes where GET goes unless a route names it. */
 bool Matches(const RouteSpec& route, std::string_view method,
              std::string_view path) {
-  return (route.method == "*" || route.method == method) &&
+  const bool is_method = route.method == "*" || route.method == method ||
+                         (route.method == "GET" && method == "HEAD");
+  return is_method &&
          path.substr(0, route.path_prefix.size()) == route.path_prefix;
 }
 
--- a/modules/gg_http/forwarder.cc
+++ b/modules/gg_http/forwarder.cc
@@ -71,6 +71,20 @@
 
 /** State of one request over all its attempts. */
 struct Forwarder::Attempt {
+  explicit Attempt(Steering* attempt_steering) : steering(attempt_steering) {}
+
+  /** Gives an open admission back when the request ends by an exception. */
+  ~Attempt() {
+    if (is_open) {
+      steering->Finish(admission, AttemptResult::kCancelled, Duration::zero(),
+                       Now());
+    }
+  }
+  Attempt(const Attempt&) = delete;
+  Attempt& operator=(const Attempt&) = delete;
+
+  Steering* steering;    // not owned
+  bool is_open = false;  // admitted and not finished
   int number = 0;
   AdmissionRequest admission_request;
   Admission admission;
@@ -94,7 +108,7 @@
 }
 
 asio::awaitable<ForwardResult> Forwarder::Forward(ForwardJob job) {
-  Attempt attempt;
+  Attempt attempt(options_.steering);
   attempt.request_started_at = Now();
   attempt.result.fate = Fate::kNotRun;
   if (!co_await ReadBody(&job, &attempt.result.handled)) {
@@ -172,6 +186,7 @@
     co_await Refuse(job, attempt, std::move(refusal));
     co_return Verdict::kDone;
   }
+  attempt->is_open = true;
   attempt->started_at = Now();
   const std::string& address = attempt->admission.target_address;
   // A reused connection may be closed by the target at the very moment the
@@ -326,6 +341,7 @@
 
 void Forwarder::Finish(const ForwardJob& job, Attempt* attempt,
                        AttemptResult result) {
+  attempt->is_open = false;
   const TargetChange change = options_.steering->Finish(
       attempt->admission, result, attempt->answered_at - attempt->started_at,
       Now());
@@ -371,10 +387,11 @@
   }
   result.fate = Fate::kAnswered;
   bool whole = true;
-  result.handled =
-      exchange.held_whole()
-          ? co_await exchange.SendHeld(options_.is_draining())
-          : co_await exchange.Relay(options_.is_draining(), &whole);
+  if (exchange.held_whole()) {
+    result.handled = co_await exchange.SendHeld(options_.is_draining());
+  } else {
+    result.handled = co_await exchange.Relay(options_.is_draining(), &whole);
+  }
   co_return result;
 }
 
--- a/modules/gg_http/target_exchange.cc
+++ b/modules/gg_http/target_exchange.cc
@@ -69,9 +69,14 @@
 
 asio::awaitable<absl::Status> TargetExchange::Send() {
   SetDeadline();
-  const absl::Status sent = parts_.held_body != nullptr
-                                ? co_await SendHeldRequest()
-                                : co_await StreamRequest();
+  // GCC 12 destroys a result twice that a conditional operator takes from one of
+  // two awaits.
+  absl::Status sent;
+  if (parts_.held_body != nullptr) {
+    sent = co_await SendHeldRequest();
+  } else {
+    sent = co_await StreamRequest();
+  }
   request_sent_ = sent.ok();
   co_return sent;
 }
--- a/modules/gg_http/traffic_server.cc
+++ b/modules/gg_http/traffic_server.cc
@@ -5,6 +5,7 @@
 #include "absl/strings/str_cat.h"
 #include "gg_core/errors.h"
 #include "gg_http/refusal_answer.h"
+#include "gg_insight/event_log.h"
 
 namespace greengage {
 namespace {
@@ -18,6 +19,17 @@
 
 TimePoint Now() { return std::chrono::steady_clock::now(); }
 
+/** Logs what a connection's coroutine threw; the connection is gone. */
+void LogFailure(const std::exception_ptr& failure) {
+  try {
+    std::rethrow_exception(failure);
+  } catch (const std::exception& error) {
+    LogEvent(LogLevel::kError, Event::kInternalError, error.what());
+  } catch (...) {
+    LogEvent(LogLevel::kError, Event::kInternalError, "unknown exception");
+  }
+}
+
 /** Counts one request from its first byte to the end of its answer. */
 class ActiveCount {
  public:
@@ -140,7 +152,9 @@
       continue;
     }
     asio::co_spawn(worker->context, Serve(worker, std::move(socket)),
-                   asio::detached);
+                   [](std::exception_ptr failure) {
+                     if (failure) LogFailure(failure);
+                   });
   }
 }
 
