--- a/modules/gg_core/errors.cc
+++ b/modules/gg_core/errors.cc
@@ -11,7 +11,8 @@
 
 std::string Payload(const absl::Status& status, std::string_view url) {
   const auto payload = status.GetPayload({url.data(), url.size()});
-  return payload.has_value() ? std::string(*payload) : std::string();
+  if (!payload.has_value()) return "";
+  return std::string(*payload);
 }
 
 }  // namespace
--- a/modules/gg_ctl/document_editor.cc
+++ b/modules/gg_ctl/document_editor.cc
@@ -38,7 +38,8 @@
 std::string SectionOf(const std::string& document, const std::string& name) {
   const std::vector<SectionText> sections = SplitSections(document);
   const SectionText* section = FindSection(sections, name);
-  return section == nullptr ? "" : section->text;
+  if (section == nullptr) return "";
+  return section->text;
 }
 
 absl::Status ChangedBySomebody(const SectionEdit& edit,
--- a/modules/gg_document/document.cc
+++ b/modules/gg_document/document.cc
@@ -76,7 +76,8 @@
       best = &block;
     }
   }
-  return best == nullptr ? fallback : std::string_view(best->region);
+  if (best == nullptr) return fallback;
+  return best->region;
 }
 
 const RouteSpec* FindRoute(const ServiceSpec& service, std::string_view method,
--- a/modules/gg_document/document_parser.cc
+++ b/modules/gg_document/document_parser.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 
+#include <charconv>
 #include <cmath>
 #include <set>
 
@@ -45,9 +46,12 @@
   if (colon == std::string::npos || !ParseIpv4(text.substr(0, colon))) {
     return false;
   }
-  char* end = nullptr;
-  const long port = std::strtol(text.c_str() + colon + 1, &end, 10);
-  return *end == '\0' && port > 0 && port <= kMaxPort;
+  const std::string_view digits = std::string_view(text).substr(colon + 1);
+  int port = 0;
+  const auto [end, error] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  return error == std::errc() && end == digits.data() + digits.size() &&
+         port > 0 && port <= kMaxPort;
 }
 
 /** Remembers who has `name`; a second owner is a problem. */
--- a/modules/gg_document/section_text.cc
+++ b/modules/gg_document/section_text.cc
@@ -48,13 +48,11 @@
     if (!key.empty()) {
       sections.push_back({std::string(key), pending + std::string(line)});
       pending.clear();
-    } else if (IsCommentOrBlank(line)) {
+    } else if (IsCommentOrBlank(line) || sections.empty()) {
       pending += line;
-    } else if (!sections.empty()) {
+    } else {
       sections.back().text += pending + std::string(line);
       pending.clear();
-    } else {
-      pending += line;
     }
   }
   if (!sections.empty()) {
--- a/modules/gg_document/yaml_reader.cc
+++ b/modules/gg_document/yaml_reader.cc
@@ -35,8 +35,9 @@
 
 std::string ProblemList::Text() const { return absl::StrJoin(problems_, "\n"); }
 
-YamlReader::YamlReader(YAML::Node node, std::string path, ProblemList* problems)
-    : node_(std::move(node)), path_(std::move(path)), problems_(problems) {}
+YamlReader::YamlReader(const YAML::Node& node, std::string path,
+                       ProblemList* problems)
+    : node_(node), path_(std::move(path)), problems_(problems) {}
 
 bool YamlReader::present() const {
   return node_.IsDefined() && !node_.IsNull();
@@ -144,8 +145,9 @@
 
 int64_t YamlReader::RequiredCount(NumberRange range) const {
   const double value = RequiredNumber(range);
-  if (value != std::floor(value))
+  if (value != std::floor(value)) {
     Problem("not a whole number", "drop the part after the point");
+  }
   return static_cast<int64_t>(value);
 }
 
--- a/modules/gg_document/yaml_reader.h
+++ b/modules/gg_document/yaml_reader.h
@@ -38,7 +38,7 @@
     was made with. */
 class YamlReader {
  public:
-  YamlReader(YAML::Node node, std::string path, ProblemList* problems);
+  YamlReader(const YAML::Node& node, std::string path, ProblemList* problems);
 
   //==============================================================================
   /** True when the node was written in the document. */
--- a/modules/gg_http/target_exchange.cc
+++ b/modules/gg_http/target_exchange.cc
@@ -69,8 +69,8 @@
 
 asio::awaitable<absl::Status> TargetExchange::Send() {
   SetDeadline();
-  // GCC 12 destroys a result twice that a conditional operator takes from one of
-  // two awaits.
+  // GCC 12 destroys a result twice that a conditional operator takes from one
+  // of two awaits.
   absl::Status sent;
   if (parts_.held_body != nullptr) {
     sent = co_await SendHeldRequest();
--- a/modules/gg_steering/controller.cc
+++ b/modules/gg_steering/controller.cc
@@ -442,7 +442,7 @@
 
 void Controller::MaintainSlices(TimePoint now) {
   if (!store_available_ || replica_.document() == nullptr) return;
-  slices_.PlanRelease(membership_.LivingCount(), is_releasing_);
+  slices_.PlanRelease(LivingAddresses(), is_releasing_);
   UpdateBudgets(now);
   if (const std::optional<SliceTable> released = slices_.ReleasedTable()) {
     if (!IsIdleEnoughToRelease() || !MayWrite(SharedKey::kSlices, now)) return;
--- a/modules/gg_steering/gg_steering.h
+++ b/modules/gg_steering/gg_steering.h
@@ -10,6 +10,7 @@
     Depends on: gg_core, gg_document.
 */
 
+#include "gg_steering/block_table.h"
 #include "gg_steering/budget_table.h"
 #include "gg_steering/controller.h"
 #include "gg_steering/lookup_policy.h"
--- a/modules/gg_steering/order_ledger.h
+++ b/modules/gg_steering/order_ledger.h
@@ -44,8 +44,8 @@
  public:
   struct Options {
     size_t max_orders = 50'000;
-    size_t max_body_bytes = 16 * 1024;
-    size_t max_total_bytes = 16 * 1024 * 1024;
+    size_t max_body_bytes = 16384;
+    size_t max_total_bytes = 16777216;
   };
 
   explicit OrderLedger(Options options) : options_(options) {}
--- a/modules/gg_steering/slice_keeper.cc
+++ b/modules/gg_steering/slice_keeper.cc
@@ -44,20 +44,21 @@
 
 std::optional<SliceTable> SliceKeeper::PlanClaim(
     int64_t slices, const std::set<std::string>& living, TimePoint now) {
-  const SliceClaimInput input{
-      .self = options_.self,
-      .slices = slices,
-      .members = std::max<int64_t>(static_cast<int64_t>(living.size()), 1),
-      .is_gone = [&](const std::string& address) {
-        return living.count(address) == 0 && IsGone(address, now);
-      }};
+  const SliceClaimInput input{.self = options_.self,
+                              .slices = slices,
+                              .living = living,
+                              .is_gone = [&](const std::string& address) {
+                                return living.count(address) == 0 &&
+                                       IsGone(address, now);
+                              }};
   SliceTable next = PlanSliceClaim(table_, input);
   if (next == table_) return std::nullopt;
   claim_base_ = revision_;
   return next;
 }
 
-void SliceKeeper::PlanRelease(int64_t members, bool is_leaving) {
+void SliceKeeper::PlanRelease(const std::set<std::string>& living,
+                              bool is_leaving) {
   if (is_leaving) {
     for (size_t i = 0; i < table_.owners.size(); ++i) {
       if (table_.owners[i] == options_.self) {
@@ -69,7 +70,7 @@
   // A slice that is being given up is never taken back into use: the write that
   // frees it may be under way.
   const std::vector<int64_t> excess =
-      ExcessSlices(table_, options_.self, members);
+      ExcessSlices(table_, options_.self, living);
   releasing_.insert(excess.begin(), excess.end());
 }
 
--- a/modules/gg_steering/slice_keeper.h
+++ b/modules/gg_steering/slice_keeper.h
@@ -56,7 +56,7 @@
                                       TimePoint now);
 
   /** Stops using slices over the fair share, or all of them when leaving. */
-  void PlanRelease(int64_t members, bool is_leaving);
+  void PlanRelease(const std::set<std::string>& living, bool is_leaving);
 
   /** Returns the table to write once nothing runs on the slices being given up;
       nothing when there are none. */
--- a/modules/gg_steering/slice_table.cc
+++ b/modules/gg_steering/slice_table.cc
@@ -1,8 +1,8 @@
 #include "gg_steering/slice_table.h"
 
 #include <algorithm>
+#include <map>
 #include <nlohmann/json.hpp>
-#include <set>
 
 #include "gg_core/errors.h"
 
@@ -11,15 +11,32 @@
 
 bool IsFree(const HostId& owner) { return owner.address.empty(); }
 
-/** Slices that every member can have. */
-int64_t FairShare(int64_t slices, int64_t members) {
-  return slices / std::max<int64_t>(members, 1);
+/** Slices that every living daemon can have. */
+int64_t FairShare(const SliceTable& table,
+                  const std::set<std::string>& living) {
+  return static_cast<int64_t>(table.owners.size()) /
+         std::max<int64_t>(static_cast<int64_t>(living.size()), 1);
 }
 
-/** Slices that a member may claim while some are free. */
-int64_t ClaimShare(int64_t slices, int64_t members) {
-  const int64_t divisor = std::max<int64_t>(members, 1);
-  return (slices + divisor - 1) / divisor;
+/** How the slices stand against the share. */
+struct SliceBalance {
+  int64_t free = 0;
+  int64_t lacking = 0;  // what living daemons other than `self` lack together
+};
+
+SliceBalance BalanceOf(const SliceTable& table, const HostId& self,
+                       const std::set<std::string>& living) {
+  SliceBalance balance;
+  std::map<std::string, int64_t> owned;
+  for (const HostId& owner : table.owners) {
+    ++(IsFree(owner) ? balance.free : owned[owner.address]);
+  }
+  const int64_t share = FairShare(table, living);
+  for (const std::string& address : living) {
+    if (address == self.address) continue;
+    balance.lacking += std::max<int64_t>(share - owned[address], 0);
+  }
+  return balance;
 }
 
 }  // namespace
@@ -60,15 +77,18 @@
                                  owner.incarnation < input.self.incarnation;
     if (is_earlier_self) owner = input.self;
   }
-  const int64_t share =
-      ClaimShare(static_cast<int64_t>(next.owners.size()), input.members);
+  const int64_t share = FairShare(next, input.living);
+  const SliceBalance balance = BalanceOf(next, input.self, input.living);
   int64_t owned = OwnedSlices(next, input.self);
+  int64_t spare =
+      balance.free - std::max<int64_t>(share - owned, 0) - balance.lacking;
   for (HostId& owner : next.owners) {
-    if (owned >= share) break;
-    const bool is_available =
-        IsFree(owner) || (owner.address != input.self.address &&
-                          input.is_gone && input.is_gone(owner.address));
-    if (!is_available) continue;
+    const bool is_gone = !IsFree(owner) &&
+                         owner.address != input.self.address && input.is_gone &&
+                         input.is_gone(owner.address);
+    if (!IsFree(owner) && !is_gone) continue;
+    if (owned >= share && (owned > share || spare <= 0)) break;
+    if (owned >= share) --spare;
     owner = input.self;
     ++owned;
   }
@@ -76,26 +96,16 @@
 }
 
 std::vector<int64_t> ExcessSlices(const SliceTable& table, const HostId& self,
-                                  int64_t members) {
-  const auto slices = static_cast<int64_t>(table.owners.size());
-  const int64_t share = FairShare(slices, members);
+                                  const std::set<std::string>& living) {
+  const SliceBalance balance = BalanceOf(table, self, living);
+  const int64_t wanted = balance.lacking - balance.free;
+  const int64_t share = std::max<int64_t>(FairShare(table, living), 1);
   std::vector<int64_t> excess;
-  std::set<std::string> owners;
-  int64_t free_slices = 0;
-  for (const HostId& owner : table.owners) {
-    if (IsFree(owner)) {
-      ++free_slices;
-    } else {
-      owners.insert(owner.address);
-    }
-  }
-  const int64_t missing =
-      std::max<int64_t>(members - static_cast<int64_t>(owners.size()), 0);
-  if (free_slices >= missing * share) return excess;
   int64_t kept = 0;
-  for (int64_t i = 0; i < slices; ++i) {
-    if (table.owners[i] != self) continue;
-    if (++kept > std::max<int64_t>(share, 1)) excess.push_back(i);
+  for (size_t i = 0; i < table.owners.size(); ++i) {
+    if (table.owners[i] != self || ++kept <= share) continue;
+    if (static_cast<int64_t>(excess.size()) >= wanted) break;
+    excess.push_back(static_cast<int64_t>(i));
   }
   return excess;
 }
--- a/modules/gg_steering/slice_table.h
+++ b/modules/gg_steering/slice_table.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,8 +41,8 @@
 /** What PlanSliceClaim() needs to know. */
 struct SliceClaimInput {
   HostId self;
-  int64_t slices = 0;   // of the document
-  int64_t members = 1;  // living daemons, this one included
+  int64_t slices = 0;            // of the document
+  std::set<std::string> living;  // addresses, this daemon's included
   /** True when the platform no longer lists the address, for long enough. */
   std::function<bool(const std::string& address)> is_gone;
 };
@@ -54,9 +55,10 @@
                           const SliceClaimInput& input);
 
 /** Returns the indices of slices that `self` should give up: those over its
-    fair share, while some member has none of its own share. */
+    share, as far as living daemons lack theirs and free slices do not cover it.
+ */
 std::vector<int64_t> ExcessSlices(const SliceTable& table, const HostId& self,
-                                  int64_t members);
+                                  const std::set<std::string>& living);
 
 /** Returns the table as the JSON text that stands in the store. */
 std::string SliceTableToJson(const SliceTable& table);
--- a/modules/gg_wire/frame_codec.cc
+++ b/modules/gg_wire/frame_codec.cc
@@ -4,7 +4,7 @@
 #include <cmath>
 
 #include "gg_core/errors.h"
-#include "gg_wire/peer_generated.h"
+#include "gg_wire/generated/peer_generated.h"
 
 namespace greengage {
 namespace {
--- a/tests/standins/demo_summary.cc
+++ b/tests/standins/demo_summary.cc
@@ -1,6 +1,6 @@
-// Adds up what callers and targets of a demonstration saw, prints one table, and
-// ends with 0 only if every check held. With --snapshot it only saves what the
-// targets have seen so far.
+// Adds up what callers and targets of a demonstration saw, prints one table,
+// and ends with 0 only if every check held. With --snapshot it only saves what
+// the targets have seen so far.
 
 #include <CLI/CLI.hpp>
 #include <fstream>
@@ -26,8 +26,7 @@
 };
 
 json Stats(const std::string& address) {
-  const auto text =
-      HttpGet(address, "/control/stats", std::chrono::seconds(5));
+  const auto text = HttpGet(address, "/control/stats", std::chrono::seconds(5));
   return text.ok() ? json::parse(*text) : json::object();
 }
 
@@ -82,7 +81,8 @@
     if (total.is_null()) total = json::object();
     for (const char* field :
          {"sent", "whole", "not_run", "unknown", "broken", "wrong"}) {
-      total[field] = total.value(field, int64_t{0}) + row.value(field, int64_t{0});
+      total[field] =
+          total.value(field, int64_t{0}) + row.value(field, int64_t{0});
     }
     for (const char* field : {"p50_ms", "p99_ms"}) {
       total[field] = std::max(total.value(field, 0.0), row.value(field, 0.0));
--- a/tests/unit/region_load_test.cc
+++ b/tests/unit/region_load_test.cc
@@ -186,6 +186,24 @@
   LONGS_EQUAL(24, owned());
 }
 
+TEST(RegionLoad, SlicesThatDoNotDivideEvenlyComeToRest) {
+  Fleet::Options options = FleetOptions(17);
+  options.hosts = 11;  // 24 slices: 2 each and 2 over
+  options.loss = 0;
+  Fleet fleet(options);
+  fleet.Run(seconds(30));
+  const uint64_t settled = fleet.store_revision(SharedKey::kSlices);
+  fleet.Run(seconds(30));
+  LONGS_EQUAL(settled, fleet.store_revision(SharedKey::kSlices));
+  int64_t sum = 0;
+  for (const Fleet::Host& host : fleet.hosts()) {
+    const int64_t owned = host.controller->slices().owned();
+    CHECK_TRUE(owned >= 2);
+    sum += owned;
+  }
+  LONGS_EQUAL(24, sum);
+}
+
 TEST(RegionLoad, RestartedHostTakesItsPartBack) {
   Fleet fleet(FleetOptions(13));
   fleet.Run(seconds(5));
--- a/tests/unit/steering_test.cc
+++ b/tests/unit/steering_test.cc
@@ -75,8 +75,8 @@
 
 TEST(SliceTable, ClaimTakesOwnEarlierIncarnationAndFreeOnes) {
   SliceTable table{{{"a", 1}, {"b", 1}, {}, {}}};
-  const SliceTable next =
-      PlanSliceClaim(table, {.self = {"a", 2}, .slices = 4, .members = 2});
+  const SliceTable next = PlanSliceClaim(
+      table, {.self = {"a", 2}, .slices = 4, .living = {"a", "b"}});
   LONGS_EQUAL(2, OwnedSlices(next, {"a", 2}));
   LONGS_EQUAL(0, OwnedSlices(next, {"a", 1}));
   LONGS_EQUAL(1, OwnedSlices(next, {"b", 1}));
@@ -84,7 +84,8 @@
 
 TEST(SliceTable, ClaimTakesNothingFromTheLiving) {
   SliceTable table{{{"b", 1}, {"b", 1}}};
-  CHECK_TRUE(PlanSliceClaim(table, {.self = {"a", 2}, .members = 2}) == table);
+  CHECK_TRUE(PlanSliceClaim(table, {.self = {"a", 2}, .living = {"a", "b"}}) ==
+             table);
 }
 
 TEST(SliceTable, JsonRoundTripKeepsTheTable) {
--- a/tests/unit/test_support.h
+++ b/tests/unit/test_support.h
@@ -6,9 +6,8 @@
 #define CPPUTEST_MEM_LEAK_DETECTION_DISABLED
 
 #include <CppUTest/CommandLineTestRunner.h>
-#include <CppUTest/TestHarness.h>
-
 #include <CppUTest/MemoryLeakWarningPlugin.h>
+#include <CppUTest/TestHarness.h>
 
 #include <string>
 
