--- a/modules/gg_http/forwarder.cc
+++ b/modules/gg_http/forwarder.cc
@@ -11,6 +11,14 @@
 namespace greengage {
 namespace {
 
+/** Longest wait for a peer that runs an order on a route without a time limit.
+ */
+constexpr Duration kPeerAnswerLimit = std::chrono::seconds(30);
+
+/** Time that a peer gets beyond the route's limit, for its own refusal to
+ * arrive. */
+constexpr Duration kPeerMargin = std::chrono::seconds(1);
+
 TimePoint Now() { return std::chrono::steady_clock::now(); }
 
 std::string KindLabel(const RouteSpec& route) {
@@ -375,6 +383,13 @@
   parts.target = connected->get();
   parts.held_body = job.body ? &*job.body : nullptr;
   parts.cancel_with_caller = !job.outlives_caller;
+  if (job.body) {
+    // A frozen peer accepts connections and never answers.
+    const Duration limit = job.route->time_limit > Duration::zero()
+                               ? job.route->time_limit
+                               : kPeerAnswerLimit;
+    parts.deadline = Now() + limit + kPeerMargin;
+  }
   parts.extra_fields.set(ToBeast(kHopField), "1");
   parts.extra_fields.set(ToBeast(kHomeField), job.home_region);
   TargetExchange exchange(std::move(parts));
