--- a/modules/gg_steering/controller.cc
+++ b/modules/gg_steering/controller.cc
@@ -19,6 +19,9 @@
 /** Pause between looks at whether slices are to be claimed or given up. */
 constexpr Duration kSliceCheckPause = std::chrono::milliseconds(250);
 
+/** Pause between looks at which regions are lost. */
+constexpr Duration kRegionCheckPause = std::chrono::seconds(1);
+
 /** Time that each daemon leaves to those before it to write the plan. */
 constexpr Duration kWriterPatience = std::chrono::seconds(2);
 
@@ -82,6 +85,7 @@
   MaintainSlices(now);
   UpdateBudgets(now);
   steering_->Tick(now);
+  NoteLostRegions(now);
   for (const OutgoingLoanRequest& out : loans_.Tick(living_peers_, now)) {
     hooks_.send(out.address, out.request);
   }
@@ -440,6 +444,24 @@
   steering_->SetMembers(std::move(members));
 }
 
+void Controller::NoteLostRegions(TimePoint now) {
+  if (now < next_region_check_) return;
+  next_region_check_ = now + kRegionCheckPause;
+  std::set<LostRegion> lost = steering_->LostRegions(now);
+  const auto log_new = [&](const std::set<LostRegion>& from,
+                           const std::set<LostRegion>& to, Event event) {
+    for (const LostRegion& entry : to) {
+      if (from.count(entry) != 0) continue;
+      hooks_.log(
+          LogLevel::kWarning, event,
+          absl::StrCat("service=", entry.service, " region=", entry.region));
+    }
+  };
+  log_new(lost_regions_, lost, Event::kRegionLost);
+  log_new(lost, lost_regions_, Event::kRegionRecovered);
+  lost_regions_ = std::move(lost);
+}
+
 void Controller::NoteLiving(const MemberRecord& member) {
   const std::string& address = member.id.address;
   living_.insert(address);
--- a/modules/gg_steering/controller.h
+++ b/modules/gg_steering/controller.h
@@ -17,11 +17,10 @@
 #include "gg_steering/peer_message.h"
 #include "gg_steering/plan_keeper.h"
 #include "gg_steering/slice_keeper.h"
+#include "gg_steering/steering.h"
 
 namespace greengage {
 
-class Steering;
-
 /** Control logic of one daemon: membership, the document, the plan, slices and
     loans. Events and time go in by the On...() methods and Tick(), actions come
     out by the hooks; the results are put into force in a Steering.
@@ -115,6 +114,7 @@
   void UpdateReadiness(TimePoint now);
   void UpdateBudgets(TimePoint now);
   void UpdateMembers();
+  void NoteLostRegions(TimePoint now);
   void NoteLiving(const MemberRecord& member);
   void ApplyHosts(const std::string& text, TimePoint now);
   std::vector<std::string> Contacts() const;
@@ -155,6 +155,8 @@
   std::vector<std::string> living_peers_;
   int zone_rank_ = 0;  // among the living daemons of the own availability zone
   TimePoint next_slice_check_{};
+  TimePoint next_region_check_{};
+  std::set<LostRegion> lost_regions_;
   std::set<std::string> listed_hosts_;
   std::set<std::string> listed_leaving_;
 };
--- a/modules/gg_steering/steering.cc
+++ b/modules/gg_steering/steering.cc
@@ -250,6 +250,19 @@
   return positions;
 }
 
+std::set<LostRegion> Steering::LostRegions(TimePoint now) const {
+  const std::lock_guard lock(mutex_);
+  std::set<LostRegion> lost;
+  for (size_t i = 0; i < targets_.size(); ++i) {
+    const TargetState& state = targets_.row(i);
+    const bool is_lost =
+        !state.removed &&
+        !targets_.IsRegionUsable(state.service, state.region, now);
+    if (is_lost) lost.insert({state.service, state.region});
+  }
+  return lost;
+}
+
 std::vector<TargetState> Steering::Targets() const {
   const std::lock_guard lock(mutex_);
   std::vector<TargetState> rows;
--- a/modules/gg_steering/steering.h
+++ b/modules/gg_steering/steering.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -70,6 +71,14 @@
   RegionSplit split;
 };
 
+/** Region in which no target of a service can take work. */
+struct LostRegion {
+  std::string service;
+  std::string region;
+
+  friend auto operator<=>(const LostRegion&, const LostRegion&) = default;
+};
+
 /** Standing of an idempotency key at this daemon. */
 enum class KeyStanding {
   kOwn,      // issued by this process and valid
@@ -176,6 +185,10 @@
   std::vector<MemberRecord> Members() const;
   std::vector<Position> Positions() const;
 
+  /** Returns the regions that have targets of a service and none that can take
+      work. */
+  std::set<LostRegion> LostRegions(TimePoint now) const;
+
   /** Returns a copy of the target table. */
   std::vector<TargetState> Targets() const;
 
--- /dev/null
+++ b/tests/scenario_runner/process.cc
@@ -0,0 +1,42 @@
+#include "scenario_runner/process.h"
+
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdio>
+
+namespace greengage::scenario {
+
+void Start(Process* process) {
+  process->exit_code.reset();
+  const std::string output = process->output.string();
+  std::vector<char*> arguments;
+  for (std::string& word : process->command) arguments.push_back(word.data());
+  arguments.push_back(nullptr);
+  process->pid = fork();
+  if (process->pid != 0) return;
+  if (freopen(output.c_str(), "a", stdout) == nullptr ||
+      dup2(fileno(stdout), fileno(stderr)) < 0) {
+    _exit(127);
+  }
+  execv(arguments[0], arguments.data());
+  _exit(127);
+}
+
+void Reap(Process* process) {
+  int status = 0;
+  if (process->exit_code || process->pid == 0) return;
+  if (waitpid(process->pid, &status, WNOHANG) != process->pid) return;
+  process->exit_code =
+      WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
+void End(Process* process) {
+  Reap(process);
+  if (process->exit_code || process->pid == 0) return;
+  kill(process->pid, SIGKILL);
+  waitpid(process->pid, nullptr, 0);
+}
+
+}  // namespace greengage::scenario
--- a/tests/scenario_runner/scenario_runner.cc
+++ b/tests/scenario_runner/scenario_runner.cc
@@ -21,7 +21,9 @@
 #include <thread>
 
 #include "gg_core/random.h"
-#include "gg_http/http_types.h"
+#include "gg_core/time.h"
+#include "scenario_runner/http_call.h"
+#include "scenario_runner/process.h"
 
 namespace greengage::scenario {
 namespace {
@@ -31,7 +33,6 @@
 using Words = std::vector<std::string>;
 
 constexpr Duration kPoll = std::chrono::milliseconds(50);
-constexpr Duration kCallTimeout = std::chrono::seconds(30);
 
 /** A step of the scenario did not hold. */
 struct Failure : std::runtime_error {
@@ -74,95 +75,6 @@
   return text;
 }
 
-/** A process of the scenario. */
-struct Process {
-  Words command;
-  pid_t pid = 0;
-  fs::path output;
-  std::optional<int> exit_code;
-};
-
-/** Request of a `call`. */
-struct Call {
-  std::string address;
-  std::string method = "GET";
-  std::string path = "/";
-  std::map<std::string, std::string> fields;
-  std::string body;
-};
-
-struct Reply {
-  int status = 0;  // 0: no whole answer
-  std::string outcome;
-  std::string body;
-};
-
-Reply Send(const Call& call) {
-  asio::io_context context{1};
-  Reply reply;
-  http::request<http::string_body> request(http::string_to_verb(call.method),
-                                           call.path, 11);
-  request.set(http::field::host, "unset");
-  for (const auto& [name, value] : call.fields) request.set(name, value);
-  request.body() = call.body;
-  request.keep_alive(false);
-  request.prepare_payload();
-  const auto run = [&]() -> asio::awaitable<void> {
-    beast::tcp_stream stream(context);
-    beast::flat_buffer buffer;
-    ErrorCode error;
-    stream.expires_after(kCallTimeout);
-    const auto endpoint = ParseEndpoint(call.address);
-    if (!endpoint) co_return;
-    co_await stream.async_connect(*endpoint, Await(&error));
-    if (error) co_return;
-    co_await http::async_write(stream, request, Await(&error));
-    http::response<http::string_body> answer;
-    co_await http::async_read(stream, buffer, answer, Await(&error));
-    if (error) co_return;
-    reply.status = static_cast<int>(answer.result_int());
-    reply.outcome = std::string(FromBeast(answer[ToBeast(kOutcomeField)]));
-    reply.body = std::move(answer.body());
-  };
-  asio::co_spawn(context, run(), asio::detached);
-  context.run();
-  return reply;
-}
-
-/** Sends bytes and returns what comes back until the other side closes or is
-    silent for a second. */
-std::string SendRaw(const std::string& address, const std::string& bytes) {
-  asio::io_context context{1};
-  std::string answer;
-  const auto run = [&]() -> asio::awaitable<void> {
-    beast::tcp_stream stream(context);
-    ErrorCode error;
-    stream.expires_after(kCallTimeout);
-    co_await stream.async_connect(*ParseEndpoint(address), Await(&error));
-    if (error) co_return;
-    co_await asio::async_write(stream, asio::buffer(bytes), Await(&error));
-    std::string chunk(kBodyChunkBytes, '\0');
-    while (!error) {
-      stream.expires_after(std::chrono::seconds(1));
-      const size_t count =
-          co_await stream.async_read_some(asio::buffer(chunk), Await(&error));
-      answer.append(chunk.data(), count);
-    }
-  };
-  asio::co_spawn(context, run(), asio::detached);
-  context.run();
-  return answer;
-}
-
-/** Sends bytes and closes without waiting for an answer. */
-void SendAndClose(const std::string& address, const std::string& bytes) {
-  asio::io_context context{1};
-  asio::ip::tcp::socket socket(context);
-  ErrorCode error;
-  socket.connect(*ParseEndpoint(address), error);
-  if (!error) asio::write(socket, asio::buffer(bytes), error);
-}
-
 /** Finds a value by a path with slashes; numbers index arrays, and "count" is
    the number of items. */
 json Find(const json& root, const std::string& path) {
@@ -342,22 +254,6 @@
     return DaemonAddress(name, "8080");
   }
 
-  void Start(Process* process) {
-    process->exit_code.reset();
-    const std::string output = process->output.string();
-    std::vector<char*> arguments;
-    for (std::string& word : process->command) arguments.push_back(word.data());
-    arguments.push_back(nullptr);
-    process->pid = fork();
-    if (process->pid != 0) return;
-    if (freopen(output.c_str(), "a", stdout) == nullptr ||
-        dup2(fileno(stdout), fileno(stderr)) < 0) {
-      _exit(127);
-    }
-    execv(arguments[0], arguments.data());
-    _exit(127);
-  }
-
   Process& Spawn(const std::string& name, Words command) {
     command[0] = options_.bin + "/" + command[0];
     Process& process = processes_[name];
@@ -367,22 +263,6 @@
     return process;
   }
 
-  /** Takes in the exit of a process, if it has ended. */
-  static void Reap(Process* process) {
-    int status = 0;
-    if (process->exit_code || process->pid == 0) return;
-    if (waitpid(process->pid, &status, WNOHANG) != process->pid) return;
-    process->exit_code =
-        WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
-  }
-
-  static void End(Process* process) {
-    Reap(process);
-    if (process->exit_code || process->pid == 0) return;
-    kill(process->pid, SIGKILL);
-    waitpid(process->pid, nullptr, 0);
-  }
-
   void StartStore() {
     Spawn("store", {"store_standin", "--listen", StoreAddress()});
     Eventually({"eventually", "10s", "json", "store", "/control/stats",
--- a/tests/unit/configuration_test.cc
+++ b/tests/unit/configuration_test.cc
@@ -12,18 +12,11 @@
 constexpr Duration kInForceWithin = seconds(5);
 
 Fleet::Options FleetOptions(uint64_t seed) {
-  return {
-      .hosts = 8,
-      .seed = seed,
-      .loss = 0.05,
-      .repeat = 0.05,
-      .longest_delay = milliseconds(100),
-      .document = SampleDocument(),
-      .zones = {"north-1", "south-1", "north-2", "south-2"},
-      .region_of = [](const std::string& zone) { return zone.substr(0, 5); },
-      .budget = {},
-      .adjust = {},
-      .on_send = {}};
+  Fleet::Options options = SampleFleet(seed, 8);
+  options.loss = 0.05;
+  options.repeat = 0.05;
+  options.longest_delay = milliseconds(100);
+  return options;
 }
 
 std::string DocumentWithCap(uint64_t number) {
--- a/tests/unit/fleet.cc
+++ b/tests/unit/fleet.cc
@@ -5,6 +5,7 @@
 #include <cstdlib>
 
 #include "gg_document/document_parser.h"
+#include "unit/sample_document.h"
 
 namespace greengage {
 namespace {
@@ -17,6 +18,21 @@
 
 }  // namespace
 
+Fleet::Options SampleFleet(uint64_t seed, int hosts) {
+  return {
+      .hosts = hosts,
+      .seed = seed,
+      .loss = 0.1,
+      .repeat = 0.1,
+      .longest_delay = std::chrono::milliseconds(300),
+      .document = SampleDocument(),
+      .zones = {"north-1", "south-1", "north-2", "south-2"},
+      .region_of = [](const std::string& zone) { return zone.substr(0, 5); },
+      .budget = {},
+      .adjust = {},
+      .on_send = {}};
+}
+
 Fleet::Fleet(Options options)
     : options_(std::move(options)),
       random_(options_.seed),
--- a/tests/unit/fleet.h
+++ b/tests/unit/fleet.h
@@ -130,6 +130,10 @@
   DocumentPtr document_;
 };
 
+/** Returns options for a fleet under the sample document, on a network that
+   loses and repeats a tenth of all messages and delays them by up to 300 ms. */
+Fleet::Options SampleFleet(uint64_t seed, int hosts);
+
 }  // namespace greengage
 
 #endif  // TESTS_UNIT_FLEET_H_
--- a/tests/unit/region_load_test.cc
+++ b/tests/unit/region_load_test.cc
@@ -14,21 +14,6 @@
 constexpr int kSchedules = 1000;
 constexpr int kStepsPerSchedule = 60;
 
-Fleet::Options FleetOptions(uint64_t seed) {
-  return {
-      .hosts = 5,
-      .seed = seed,
-      .loss = 0.1,
-      .repeat = 0.1,
-      .longest_delay = milliseconds(300),
-      .document = SampleDocument(),
-      .zones = {"north-1", "south-1", "north-2", "south-2"},
-      .region_of = [](const std::string& zone) { return zone.substr(0, 5); },
-      .budget = {},
-      .adjust = {},
-      .on_send = {}};
-}
-
 /** One random event: load, faults, repairs. */
 void RandomStep(Fleet* fleet, const std::function<void()>& check) {
   Random& random = fleet->random();
@@ -104,7 +89,7 @@
   }
 
   void RunSchedule(uint64_t seed) {
-    Fleet::Options options = FleetOptions(seed);
+    Fleet::Options options = SampleFleet(seed, 5);
     options.budget = budget;
     Fleet fleet(options);
     const auto check = [&] { CheckLoad(fleet, seed); };
@@ -142,7 +127,7 @@
 }
 
 TEST(RegionLoad, CrowdedHostBorrowsFromIdlePeers) {
-  Fleet::Options options = FleetOptions(7);
+  Fleet::Options options = SampleFleet(7, 5);
   options.loss = 0;
   Fleet fleet(options);
   fleet.Run(seconds(5));
@@ -158,7 +143,7 @@
 }
 
 TEST(RegionLoad, DeadHostsPartReturnsWhenThePlatformDropsIt) {
-  Fleet::Options options = FleetOptions(11);
+  Fleet::Options options = SampleFleet(11, 5);
   options.loss = 0;
   Fleet fleet(options);
   const auto list = [&](int first) {
@@ -187,7 +172,7 @@
 }
 
 TEST(RegionLoad, SlicesThatDoNotDivideEvenlyComeToRest) {
-  Fleet::Options options = FleetOptions(17);
+  Fleet::Options options = SampleFleet(17, 5);
   options.hosts = 11;  // 24 slices: 2 each and 2 over
   options.loss = 0;
   Fleet fleet(options);
@@ -205,7 +190,7 @@
 }
 
 TEST(RegionLoad, RestartedHostTakesItsPartBack) {
-  Fleet fleet(FleetOptions(13));
+  Fleet fleet(SampleFleet(13, 5));
   fleet.Run(seconds(5));
   const int64_t before = fleet.hosts()[0].controller->slices().owned();
   fleet.Restart(0);
--- a/tests/unit/shift_cap_test.cc
+++ b/tests/unit/shift_cap_test.cc
@@ -17,21 +17,6 @@
 /** Rounding of sums of many small moves. */
 constexpr double kTolerance = 1e-9;
 
-Fleet::Options FleetOptions(uint64_t seed) {
-  return {
-      .hosts = 5,
-      .seed = seed,
-      .loss = 0.1,
-      .repeat = 0.1,
-      .longest_delay = milliseconds(300),
-      .document = SampleDocument(),
-      .zones = {"north-1", "south-1", "north-2", "south-2"},
-      .region_of = [](const std::string& zone) { return zone.substr(0, 5); },
-      .budget = {},
-      .adjust = {},
-      .on_send = {}};
-}
-
 /** Share of home region north's traffic that goes south, over all hosts that
     serve, each with the same traffic; negative when none serves. */
 double SouthShare(Fleet* fleet) {
@@ -78,7 +63,7 @@
 
   void RunSchedule(uint64_t seed) {
     samples.clear();
-    Fleet fleet(FleetOptions(seed));
+    Fleet fleet(SampleFleet(seed, 5));
     Random& random = fleet.random();
     Pass(&fleet, 5, seed);
     static const char* const kSplits[] = {"{north: 0.0, south: 1.0}",
@@ -129,7 +114,7 @@
 }
 
 TEST(ShiftCap, LargeEditIsRampedToItsEnd) {
-  Fleet fleet(FleetOptions(3));
+  Fleet fleet(SampleFleet(3, 5));
   Pass(&fleet, 5, 3);
   fleet.WriteDocument(SampleDocument("{north: 0.0, south: 1.0}"));
   Pass(&fleet, 300, 3);
@@ -137,7 +122,7 @@
 }
 
 TEST(ShiftCap, WholeFleetRestartedMidRampGoesOnFromThePlan) {
-  Fleet fleet(FleetOptions(5));
+  Fleet fleet(SampleFleet(5, 5));
   Pass(&fleet, 5, 5);
   fleet.WriteDocument(SampleDocument("{north: 0.0, south: 1.0}"));
   Pass(&fleet, 100, 5);
@@ -153,7 +138,7 @@
 }
 
 TEST(ShiftCap, RestartedHostTakesItsPeersPosition) {
-  Fleet fleet(FleetOptions(9));
+  Fleet fleet(SampleFleet(9, 5));
   Pass(&fleet, 5, 9);
   fleet.WriteDocument(SampleDocument("{north: 0.0, south: 1.0}"));
   Pass(&fleet, 100, 9);
@@ -164,7 +149,7 @@
 }
 
 TEST(ShiftCap, RampStallsWithoutTheStoreAndGoesOnAfter) {
-  Fleet fleet(FleetOptions(11));
+  Fleet fleet(SampleFleet(11, 5));
   Pass(&fleet, 5, 11);
   fleet.WriteDocument(SampleDocument("{north: 0.0, south: 1.0}"));
   Pass(&fleet, 40, 11);
--- a/tests/unit/steering_test.cc
+++ b/tests/unit/steering_test.cc
@@ -301,6 +301,96 @@
                           kStart + seconds(6)) == TargetChange::kRestored);
 }
 
+TEST_GROUP(Steering) {
+  DocumentPtr document =
+      *ParseDocument(SampleDocument("{north: 0.8, south: 0.2}"));
+  const ServiceSpec& shop = document->services[0];
+  Steering steering{{.region = "north", .started_at = kStart}};
+  TimePoint now = kStart;
+
+  void setup() override {
+    steering.ApplyDocument(document, 1, now);
+    steering.ApplyPlan({}, now);
+    steering.SetOwnPermits("north", 10);
+    steering.SetOwnPermits("south", 10);
+    steering.Tick(now);
+  }
+
+  double SouthShare() {
+    for (const Position& position : steering.Positions()) {
+      if (position.home == "north") return position.split.at("south");
+    }
+    return -1;
+  }
+
+  Admission Admit() {
+    return steering.Admit(
+        {.service = &shop, .route = &shop.routes[0], .home_region = "north"},
+        now);
+  }
+
+  /** A second of requests of which those to north fail. */
+  void PassWithNorthDown() {
+    for (int i = 0; i < 10; ++i) {
+      now += milliseconds(100);
+      steering.Tick(now);
+      const Admission admission = Admit();
+      if (!admission.admitted()) continue;
+      const bool fails = admission.target_region == "north";
+      steering.Finish(admission,
+                      fails ? AttemptResult::kFailed : AttemptResult::kAnswered,
+                      milliseconds(10), now);
+    }
+  }
+};
+
+TEST(Steering, LostRegionsShareMovesNoFasterThanTheCap) {
+  std::vector<double> shares;
+  bool was_seen_lost = false;
+  for (int second = 0; second < 200; ++second) {
+    PassWithNorthDown();
+    was_seen_lost |= steering.LostRegions(now).count({"shop", "north"}) == 1;
+    shares.push_back(SouthShare());
+    const size_t window = std::min<size_t>(shares.size() - 1, 20);
+    const double moved = shares.back() - shares[shares.size() - 1 - window];
+    CHECK_TRUE(moved <= 0.2 + 1e-9);
+  }
+  CHECK_TRUE(was_seen_lost);
+  // A rested target is tried again now and then, so the share stays a little
+  // off its end.
+  CHECK_TRUE(shares.back() > 0.8);
+}
+
+TEST(Steering, StalledControlThreadAdmitsNothing) {
+  CHECK_TRUE(Admit().admitted());
+  now += seconds(3);
+  CHECK_TRUE(Admit().refusal == Refusal::kControlStalled);
+  steering.Tick(now);
+  CHECK_TRUE(Admit().admitted());
+}
+
+TEST(Steering, LinkBytesOfAllSharesStayUnderTheLink) {
+  // Three daemons with a third of the link each send as much as they may.
+  int64_t sent = 0;
+  for (int daemon = 0; daemon < 3; ++daemon) {
+    Steering each{{.region = "north", .started_at = kStart}};
+    each.ApplyDocument(document, 1, kStart);
+    each.SetLinkShare(1.0 / 3);
+    TimePoint at = kStart;
+    while (at < kStart + seconds(10)) {
+      const Duration wait = each.ReserveLink("north", "south", 4096, at);
+      if (wait == Duration::zero()) {
+        sent += 4096;
+      } else {
+        at += wait;
+      }
+    }
+  }
+  const int64_t link = document->links[0].bytes_per_second;
+  CHECK_TRUE(sent <= 10 * link + link / 20 + 3 * 4096);
+  CHECK_TRUE(sent >= 9 * link);
+}
+
 TEST_GROUP(RetryBudget){};
 
 TEST(RetryBudget, RetriesStayAFractionOfAttempts) {
