Leave suspects out of the overlay, and tell a suspect that speaks

The trace: all four of its overlay neighbours were suspects, frozen, and stayed its neighbours until they would be removed after 30 s, so it heard from nobody. Ruled out: lost announcements (heartbeats repeat the revision each second), the store (cut off on purpose), an edit nobody could hear (three daemons had it). Change: the overlay is that of the living; a daemon that hears from one it suspects sends it the record, so that it refutes at once.

--- a/modules/gg_steering/controller.cc
+++ b/modules/gg_steering/controller.cc
@@ -94,6 +94,7 @@
 void Controller::OnPeerMessage(const HostId& from, const PeerMessage& message,
                                TimePoint now) {
   membership_.HeardFrom(from, now);
+  TellSuspect(from, now);
   struct Visitor {
     Controller* controller;
     const HostId& from;
@@ -154,6 +155,16 @@
   return slices_.owned() == 0 || !store_available_;
 }
 
+void Controller::TellSuspect(const HostId& from, TimePoint now) {
+  const MemberRecord* record = membership_.Find(from.address);
+  const bool is_suspect = record != nullptr && record->id == from &&
+                          record->state >= MemberState::kSuspect;
+  TimePoint& next_sync = next_sync_[from.address];
+  if (!is_suspect || now < next_sync) return;
+  next_sync = now + kSyncPause;
+  hooks_.send(from.address, MemberUpdate{{*record}});
+}
+
 void Controller::OnHeartbeat(const HostId& from, const Heartbeat& message,
                              TimePoint now) {
   if (message.wants_reply) {
--- a/modules/gg_steering/controller.h
+++ b/modules/gg_steering/controller.h
@@ -87,6 +87,8 @@
   const PlanKeeper& plan() const { return plan_; }
 
  private:
+  /** Tells a daemon that speaks that it is suspected, so that it can refute. */
+  void TellSuspect(const HostId& from, TimePoint now);
   void OnHeartbeat(const HostId& from, const Heartbeat& message, TimePoint now);
   void OnMemberUpdate(const MemberUpdate& message, TimePoint now);
   void OnStateRequest(const HostId& from, const StateRequest& message);
--- a/modules/gg_steering/membership.cc
+++ b/modules/gg_steering/membership.cc
@@ -102,6 +102,11 @@
   return records;
 }
 
+const MemberRecord* Membership::Find(const std::string& address) const {
+  const auto found = entries_.find(address);
+  return found == entries_.end() ? nullptr : &found->second.record;
+}
+
 int64_t Membership::LivingCount() const {
   return std::count_if(entries_.begin(), entries_.end(), [](const auto& item) {
     return item.second.record.state < MemberState::kSuspect;
@@ -111,13 +116,12 @@
 void Membership::Store(const MemberRecord& record, TimePoint now) {
   Entry& entry = entries_[record.id.address];
   const bool is_new = entry.record.id.address.empty();
-  const bool is_removal_change =
-      is_new || (entry.record.state == MemberState::kRemoved) !=
-                    (record.state == MemberState::kRemoved);
+  const bool was_living = !is_new && entry.record.state < MemberState::kSuspect;
+  const bool is_living = record.state < MemberState::kSuspect;
   if (!is_new) digest_ -= RecordHash(entry.record);
   digest_ += RecordHash(record);
   entry = {record, now};
-  if (is_removal_change) UpdateNeighbours(now);
+  if (was_living != is_living) UpdateNeighbours(now);
 }
 
 void Membership::Refute(const MemberRecord& claim, TimePoint now) {
@@ -132,7 +136,7 @@
 void Membership::UpdateNeighbours(TimePoint now) {
   std::vector<OverlayNode> nodes;
   for (const auto& [address, entry] : entries_) {
-    if (entry.record.state == MemberState::kRemoved) continue;
+    if (entry.record.state >= MemberState::kSuspect) continue;
     nodes.push_back({address, entry.record.zone});
   }
   neighbours_ = OverlayNeighbours(nodes, self_.id.address, options_.overlay);
--- a/modules/gg_steering/membership.h
+++ b/modules/gg_steering/membership.h
@@ -62,7 +62,9 @@
   void Leave(TimePoint now);
 
   //==============================================================================
-  /** Returns the addresses to exchange heartbeats with. */
+  /** Returns the addresses to exchange heartbeats with: the overlay of the
+     living. Suspects are left out, or a daemon whose neighbours all fell silent
+     would hear from nobody. */
   const std::vector<std::string>& Neighbours() const { return neighbours_; }
 
   /** Returns the records of all members that are not removed, by address. */
@@ -71,6 +73,9 @@
   /** Returns every record, removed ones included. */
   std::vector<MemberRecord> AllRecords() const;
 
+  /** Returns what is known of the daemon at `address`, or nullptr. */
+  const MemberRecord* Find(const std::string& address) const;
+
   /** Returns the number of members alive or leaving, this daemon included. */
   int64_t LivingCount() const;
 
