--- a/modules/gg_steering/controller.cc
+++ b/modules/gg_steering/controller.cc
@@ -10,10 +10,6 @@
 namespace greengage {
 namespace {
 
-/** Pauses between requests for state to one peer. */
-constexpr Duration kSyncPause = std::chrono::milliseconds(300);
-constexpr Duration kMemberSyncPause = std::chrono::seconds(3);
-
 /** Pauses between attempts to reach contacts that are no members. */
 constexpr Duration kFirstJoinPause = std::chrono::milliseconds(500);
 /** Pause between looks at whether slices are to be claimed or given up. */
@@ -91,39 +87,6 @@
   }
 }
 
-void Controller::OnPeerMessage(const HostId& from, const PeerMessage& message,
-                               TimePoint now) {
-  membership_.HeardFrom(from, now);
-  TellSuspect(from, now);
-  struct Visitor {
-    Controller* controller;
-    const HostId& from;
-    TimePoint now;
-    void operator()(const Heartbeat& m) {
-      controller->OnHeartbeat(from, m, now);
-    }
-    void operator()(const MemberUpdate& m) {
-      controller->OnMemberUpdate(m, now);
-    }
-    void operator()(const StateRequest& m) {
-      controller->OnStateRequest(from, m);
-    }
-    void operator()(const DocumentUpdate& m) {
-      controller->OnDocumentUpdate(from, m, now);
-    }
-    void operator()(const SharedValue& m) { controller->OnSharedValue(m, now); }
-    void operator()(const PositionUpdate& m) {
-      controller->OnPositionUpdate(m, now);
-    }
-    void operator()(const LoanRequest& m) {
-      controller->OnLoanRequest(from, m, now);
-    }
-    void operator()(const LoanGrant& m) { controller->OnLoanGrant(m, now); }
-  };
-  std::visit(Visitor{this, from, now}, message);
-  FlushMemberUpdates(from.address);
-}
-
 void Controller::OnStoreValue(const StoreValue& value, TimePoint now) {
   known_.insert(value.key);
   if (value.key == SharedKey::kSlices && confirm_by_) {
@@ -155,115 +118,6 @@
   return slices_.owned() == 0 || !store_available_;
 }
 
-void Controller::TellSuspect(const HostId& from, TimePoint now) {
-  const MemberRecord* record = membership_.Find(from.address);
-  const bool is_suspect = record != nullptr && record->id == from &&
-                          record->state >= MemberState::kSuspect;
-  TimePoint& next_sync = next_sync_[from.address];
-  if (!is_suspect || now < next_sync) return;
-  next_sync = now + kSyncPause;
-  hooks_.send(from.address, MemberUpdate{{*record}});
-}
-
-void Controller::OnHeartbeat(const HostId& from, const Heartbeat& message,
-                             TimePoint now) {
-  if (message.wants_reply) {
-    hooks_.send(from.address, MakeHeartbeat(false));
-  }
-  const bool has_news =
-      message.document_revision > replica_.revision() ||
-      message.plan_revision > plan_.revision() ||
-      message.slices_revision > slices_.revision() ||
-      message.hosts_revision > shared_[SharedKey::kHosts].revision;
-  const bool differs = message.members_digest != membership_.Digest();
-  TimePoint& next_sync = next_sync_[from.address];
-  if (has_news && now >= next_sync) {
-    next_sync = now + kSyncPause;
-    hooks_.send(from.address, MakeStateRequest());
-  } else if (differs && now >= next_sync) {
-    next_sync = now + kMemberSyncPause;
-    StateRequest request = MakeStateRequest();
-    request.wants_members = true;
-    hooks_.send(from.address, request);
-  }
-}
-
-void Controller::OnMemberUpdate(const MemberUpdate& message, TimePoint now) {
-  for (const MemberRecord& record : message.records) {
-    membership_.Merge(record, now);
-  }
-  UpdateMembers();
-}
-
-void Controller::OnStateRequest(const HostId& from,
-                                const StateRequest& message) {
-  if (message.wants_members) {
-    hooks_.send(from.address, MemberUpdate{membership_.AllRecords()});
-  }
-  if (replica_.revision() > message.document_revision) {
-    hooks_.send(from.address, replica_.UpdateSince(message.document_revision));
-  }
-  const auto send_newer = [&](SharedKey key, uint64_t have_revision) {
-    const auto value = shared_.find(key);
-    if (value != shared_.end() && value->second.revision > have_revision) {
-      hooks_.send(from.address, value->second);
-    }
-  };
-  send_newer(SharedKey::kPlan, message.plan_revision);
-  send_newer(SharedKey::kSlices, message.slices_revision);
-  send_newer(SharedKey::kHosts, message.hosts_revision);
-  PositionUpdate positions;
-  if (message.wants_positions) positions.positions = steering_->Positions();
-  hooks_.send(from.address, positions);
-}
-
-void Controller::OnDocumentUpdate(const HostId& from,
-                                  const DocumentUpdate& message,
-                                  TimePoint now) {
-  const DocumentOffer offer = replica_.OfferUpdate(message);
-  if (offer == DocumentOffer::kIncomplete) {
-    StateRequest request = MakeStateRequest();
-    request.document_revision = 0;
-    hooks_.send(from.address, request);
-    return;
-  }
-  ApplyOffer(offer, now);
-}
-
-void Controller::OnSharedValue(const SharedValue& message, TimePoint now) {
-  if (message.key == SharedKey::kDocument) return;
-  ApplyShared(message.key, message.revision, message.text, now);
-}
-
-void Controller::OnPositionUpdate(const PositionUpdate& message,
-                                  TimePoint now) {
-  if (confirm_by_) {
-    confirm_by_.reset();
-    slices_.Resume();
-  }
-  if (is_ready_ || message.positions.empty()) return;
-  steering_->StartPositions(message.positions, now);
-  heard_peer_state_ = true;
-  UpdateReadiness(now);
-}
-
-void Controller::OnLoanRequest(const HostId& from, const LoanRequest& message,
-                               TimePoint now) {
-  const std::optional<LoanGrant> grant = loans_.OnRequest(message, now);
-  if (!grant) return;
-  hooks_.log(LogLevel::kDebug, Event::kLoanGranted,
-             absl::StrCat("peer=", from.address, " region=", grant->region,
-                          " permits=", grant->permits));
-  hooks_.send(from.address, *grant);
-}
-
-void Controller::OnLoanGrant(const LoanGrant& message, TimePoint now) {
-  if (!loans_.OnGrant(message, now)) return;
-  hooks_.log(
-      LogLevel::kDebug, Event::kLoanReceived,
-      absl::StrCat("region=", message.region, " permits=", message.permits));
-}
-
 void Controller::ApplyOffer(DocumentOffer offer, TimePoint now) {
   if (offer == DocumentOffer::kInvalid &&
       replica_.last_error().code() == absl::StatusCode::kInvalidArgument) {
