Do not say not-run when an earlier attempt may have run

Cause, found by reading: when a first attempt of an idempotent request ran and its answer was lost, and the next target shed the request unrun, the refusal said not-run. A shedding target's word was taken for all attempts, not for its own. Change: such a word no longer clears what earlier attempts left open, and a target's own not-run answer is not passed on after one.

--- a/modules/gg_http/forwarder.cc
+++ b/modules/gg_http/forwarder.cc
@@ -258,7 +258,11 @@
   if (status.ok() && holds_answer) {
     status = co_await exchange->ReadHeldBody();
   }
-  attempt->any_dispatched |= exchange->dispatched();
+  // A target's word that it did not run this attempt says nothing of earlier
+  // ones.
+  const bool is_unrun = status.ok() && IsUnrunShed(exchange->answer());
+  const bool had_dispatched = attempt->any_dispatched;
+  if (!is_unrun) attempt->any_dispatched |= exchange->dispatched();
   attempt->answered_at = Now();
   if (exchange->caller_gone()) {
     attempt->result = {{false}, Fate::kUnknown};
@@ -285,17 +289,21 @@
     co_await Refuse(job, attempt, LostAnswer(status));
     co_return Verdict::kDone;
   }
-  const bool is_unrun = IsUnrunShed(exchange->answer());
   const bool is_shed =
       exchange->answer().result() == http::status::service_unavailable;
   if (is_shed && can_repeat && (is_unrun || job.route->idempotent)) {
     attempt->last_error =
         StepError(absl::StatusCode::kResourceExhausted, Step::kForwardReceive,
                   attempt->admission.target_address, "target sheds load");
-    if (is_unrun) attempt->any_dispatched = false;
     Finish(job, attempt, AttemptResult::kShed);
     co_return Verdict::kRetry;
   }
+  if (is_unrun && had_dispatched) {
+    Finish(job, attempt, AttemptResult::kShed);
+    attempt->result.fate = Fate::kUnknown;
+    co_await Refuse(job, attempt, LostAnswer(attempt->last_error));
+    co_return Verdict::kDone;
+  }
   const AttemptResult result =
       is_shed ? AttemptResult::kShed : AttemptResult::kAnswered;
   // With a held answer the target is done; a slow caller must not keep the
