--- /dev/null
+++ b/apps/greengage_entry.cc
@@ -0,0 +1,50 @@
+#include <CLI/CLI.hpp>
+#include <iostream>
+
+#include "gg_entry/entry_daemon.h"
+#include "gg_insight/event_log.h"
+#include "platform/entry_platform_adapter.h"
+
+namespace {
+
+/** Lines of the log a second; some four times today's requests of one host at
+    its busiest. */
+constexpr uint64_t kDefaultLogLines = 400;
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("greengage_entry: daemon of an entry host on the platform");
+  std::string settings_path;
+  std::string log_level = "info";
+  uint64_t log_lines = kDefaultLogLines;
+  bool only_checks = false;
+  app.add_option("--settings", settings_path, "path of the settings file")
+      ->envname("GREENGAGERAIL_SETTINGS")
+      ->required();
+  app.add_option("--log-level", log_level, "debug, info, warning or error")
+      ->envname("GREENGAGE_LOG_LEVEL")
+      ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
+  app.add_option("--log-lines", log_lines,
+                 "most log lines a second; 0: no bound")
+      ->envname("GREENGAGE_LOG_LINES");
+  app.add_flag("--check-settings", only_checks, "check the settings and end");
+  CLI11_PARSE(app, argc, argv);
+
+  greengage::EntryPlatform platform =
+      greengage::platform::MakeEntryPlatform(settings_path);
+  auto settings = platform.read_settings();
+  if (!settings.ok()) {
+    std::cerr << "greengage_entry: " << settings.status().message() << "\n";
+    return 2;
+  }
+  if (only_checks) return 0;
+  greengage::InitBoundedLogging(*greengage::ParseLogLevel(log_level),
+                                "greengage_entry", log_lines);
+  greengage::EntryDaemon daemon(*std::move(settings), std::move(platform));
+  const absl::Status status = daemon.Run();
+  greengage::StopBoundedLogging();
+  if (status.ok()) return 0;
+  std::cerr << "greengage_entry: " << status.message() << "\n";
+  return 1;
+}
--- /dev/null
+++ b/modules/gg_entry/entry_daemon.h
@@ -0,0 +1,30 @@
+#ifndef GG_ENTRY_ENTRY_DAEMON_H_
+#define GG_ENTRY_ENTRY_DAEMON_H_
+
+#include <memory>
+
+#include "absl/status/status.h"
+#include "gg_entry/entry_platform.h"
+
+namespace greengage {
+
+/** The daemon of an entry host: answers look-ups, forwards requests, and stops
+    without cutting any. */
+class EntryDaemon {
+ public:
+  EntryDaemon(EntrySettings settings, EntryPlatform platform);
+  ~EntryDaemon();
+  EntryDaemon(const EntryDaemon&) = delete;
+  EntryDaemon& operator=(const EntryDaemon&) = delete;
+
+  /** Serves until SIGTERM or SIGINT and the end of what runs then. */
+  absl::Status Run();
+
+ private:
+  struct Parts;
+  std::unique_ptr<Parts> parts_;
+};
+
+}  // namespace greengage
+
+#endif  // GG_ENTRY_ENTRY_DAEMON_H_
--- /dev/null
+++ b/modules/gg_entry/fleet_control.cc
@@ -0,0 +1,72 @@
+#include "gg_entry/fleet_control.h"
+
+#include <caf/all.hpp>
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(greengage::FleetEvent)
+
+namespace greengage {
+namespace {
+
+using TickAtom = caf::atom_constant<caf::atom("tick")>;
+using StopAtom = caf::atom_constant<caf::atom("stop")>;
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+uint64_t WallMilliseconds() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+caf::actor_system_config& SingleThreadConfig(caf::actor_system_config* config) {
+  config->set("scheduler.max-threads", 1);
+  // The default policy polls for work to steal even when there is none.
+  config->set("scheduler.policy", caf::atom("sharing"));
+  return *config;
+}
+
+}  // namespace
+
+struct FleetControl::State {
+  explicit State(Options control_options)
+      : tick(control_options.tick),
+        fleet(std::move(control_options.fleet),
+              std::move(control_options.hooks)),
+        system(SingleThreadConfig(&config)) {}
+
+  caf::behavior Behave(caf::event_based_actor* self) {
+    self->send(self, TickAtom::value);
+    return {[this, self](TickAtom) {
+              fleet.Tick(Now());
+              self->delayed_send(self, tick, TickAtom::value);
+            },
+            [this](const FleetEvent& event) {
+              fleet.Apply(event, Now(), WallMilliseconds());
+              fleet.Tick(Now());
+            },
+            [self](StopAtom) { self->quit(); }};
+  }
+
+  const Duration tick;
+  FleetState fleet;  // on the control thread only
+  caf::actor_system_config config;
+  caf::actor_system system;
+  caf::actor actor;
+};
+
+FleetControl::FleetControl(Options options)
+    : state_(std::make_unique<State>(std::move(options))) {
+  State* state = state_.get();
+  state->actor = state->system.spawn(
+      [state](caf::event_based_actor* self) { return state->Behave(self); });
+}
+
+FleetControl::~FleetControl() {
+  caf::anon_send(state_->actor, StopAtom::value);
+  state_->system.await_all_actors_done();
+}
+
+void FleetControl::Send(FleetEvent event) {
+  caf::anon_send(state_->actor, std::move(event));
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/modules/gg_entry/fleet_control.h
@@ -0,0 +1,37 @@
+#ifndef GG_ENTRY_FLEET_CONTROL_H_
+#define GG_ENTRY_FLEET_CONTROL_H_
+
+#include <memory>
+
+#include "gg_fleet/fleet_state.h"
+
+namespace greengage {
+
+/** Runs a FleetState as a CAF actor on a scheduler with one thread: the control
+    thread. All methods may be called from any thread. */
+class FleetControl {
+ public:
+  struct Options {
+    FleetState::Options fleet;
+    FleetStateHooks hooks;  // called on the control thread
+    /** How often time passes for the fleet's state; a fifteenth of the silence
+        after which a daemon is suspected. */
+    Duration tick = std::chrono::milliseconds(100);
+  };
+
+  explicit FleetControl(Options options);
+  ~FleetControl();
+  FleetControl(const FleetControl&) = delete;
+  FleetControl& operator=(const FleetControl&) = delete;
+
+  /** Queues an event. */
+  void Send(FleetEvent event);
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace greengage
+
+#endif  // GG_ENTRY_FLEET_CONTROL_H_
--- /dev/null
+++ b/modules/gg_entry/heartbeat_exchange.h
@@ -0,0 +1,79 @@
+#ifndef GG_ENTRY_HEARTBEAT_EXCHANGE_H_
+#define GG_ENTRY_HEARTBEAT_EXCHANGE_H_
+
+#include <array>
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "absl/status/status.h"
+#include "gg_fleet/fleet_event.h"
+#include "gg_http/http_types.h"
+#include "gg_request/target_board.h"
+#include "gg_wire/entry_heartbeat_codec.h"
+
+namespace greengage {
+
+/** Sends this daemon's work in flight to the other daemons and takes theirs.
+
+    Datagrams, because a lost one is replaced by the next. Traffic thread only.
+ */
+class HeartbeatExchange {
+ public:
+  struct Options {
+    std::string host_name;
+    uint64_t incarnation = 0;
+    std::string ip;
+    uint16_t port = 0;
+    /** Work changes within a service time (0.2 to 1 s); a quarter second keeps
+        the traffic between regions below 0.2 % of today's. */
+    Duration interval = std::chrono::milliseconds(250);
+    /** After this the work of a silent daemon counts as done. */
+    Duration work_lifetime = std::chrono::milliseconds(1500);
+  };
+
+  HeartbeatExchange(asio::io_context* context, Options options,
+                    TargetBoard* board,
+                    std::function<void(FleetEvent event)> on_event);
+
+  //==============================================================================
+  /** Binds and starts; an error names the address. */
+  absl::Status Start();
+
+  /** Sets where heartbeats go. */
+  void SetPeers(const std::vector<std::string>& addresses);
+
+  /** Tells the others at once that this daemon leaves. */
+  void Leave();
+
+  /** Gives the board the others' work; forgets what is old. */
+  void Tick(TimePoint now);
+
+ private:
+  struct PeerWork {
+    std::map<uint64_t, int> in_flight;
+    TimePoint heard_at{};
+  };
+
+  void Receive();
+  void OnDatagram(size_t count);
+  void ScheduleSend();
+  void SendToAll();
+
+  Options options_;
+  TargetBoard* board_;  // not owned
+  std::function<void(FleetEvent event)> on_event_;
+  asio::ip::udp::socket socket_;
+  asio::steady_timer timer_;
+  std::vector<asio::ip::udp::endpoint> peers_;
+  std::map<std::string, PeerWork> work_;  // by host name
+  /** Room for 1,500 targets with work; a longer datagram is refused. */
+  std::array<char, 24 * 1024> datagram_{};
+  asio::ip::udp::endpoint sender_;
+  bool is_leaving_ = false;
+};
+
+}  // namespace greengage
+
+#endif  // GG_ENTRY_HEARTBEAT_EXCHANGE_H_
--- /dev/null
+++ b/modules/gg_entry/http_listener.cc
@@ -0,0 +1,105 @@
+#include "gg_entry/http_listener.h"
+
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "gg_core/errors.h"
+#include "gg_insight/event_log.h"
+
+namespace greengage {
+namespace {
+
+/** Pause after an accept that failed, mostly for want of descriptors. */
+constexpr Duration kAcceptRetry = std::chrono::milliseconds(50);
+
+}  // namespace
+
+HttpListener::HttpListener(asio::io_context* context, Options options)
+    : context_(context),
+      options_(std::move(options)),
+      acceptor_(*context),
+      retry_timer_(*context) {}
+
+absl::Status HttpListener::Start() {
+  const auto endpoint = ParseEndpoint(options_.address);
+  if (!endpoint) {
+    return StepError(absl::StatusCode::kInvalidArgument, Step::kSettings,
+                     options_.address, "not an address; write ip:port");
+  }
+  ErrorCode error;
+  acceptor_.open(endpoint->protocol(), error);
+  acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  acceptor_.bind(*endpoint, error);
+  if (!error) {
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return StepError(absl::StatusCode::kUnavailable, Step::kSettings,
+                     options_.address,
+                     absl::StrCat("cannot listen: ", error.message()));
+  }
+  Accept();
+  return absl::OkStatus();
+}
+
+void HttpListener::Accept() {
+  acceptor_.async_accept([this](const ErrorCode& error,
+                                asio::ip::tcp::socket socket) {
+    if (!acceptor_.is_open()) return;
+    if (error) {
+      LogEvent(
+          LogLevel::kWarning, Event::kInternalError,
+          absl::StrCat("accept at ", options_.address, ": ", error.message()));
+      retry_timer_.expires_after(kAcceptRetry);
+      retry_timer_.async_wait([this](const ErrorCode& cancelled) {
+        if (!cancelled) Accept();
+      });
+      return;
+    }
+    if (sessions_.size() >= options_.max_sessions) {
+      LogEvent(LogLevel::kWarning, Event::kInternalError,
+               absl::StrCat("connection refused at ", options_.address,
+                            ": sessions=", sessions_.size()));
+    } else {
+      auto session = std::make_shared<HttpSession>(
+          std::move(socket),
+          HttpSession::Options{
+              .handler = options_.handler,
+              .limits = options_.limits,
+              .on_closed = [this](HttpSession* s) { sessions_.erase(s); }});
+      sessions_[session.get()] = session;
+      session->Start();
+    }
+    Accept();
+  });
+}
+
+void HttpListener::Sweep(TimePoint now) {
+  std::vector<HttpSessionPtr> sessions;
+  sessions.reserve(sessions_.size());
+  for (const auto& [key, session] : sessions_) sessions.push_back(session);
+  for (const HttpSessionPtr& session : sessions) session->Sweep(now);
+  if (is_closing_) CloseIdle();
+}
+
+void HttpListener::StopAccepting() {
+  ErrorCode ignored;
+  acceptor_.close(ignored);
+}
+
+void HttpListener::CloseIdle() {
+  is_closing_ = true;
+  std::vector<HttpSessionPtr> sessions;
+  for (const auto& [key, session] : sessions_) sessions.push_back(session);
+  for (const HttpSessionPtr& session : sessions) session->CloseWhenIdle();
+}
+
+size_t HttpListener::ActiveRequests() const {
+  size_t count = 0;
+  for (const auto& [key, session] : sessions_) {
+    if (session->has_request()) ++count;
+  }
+  return count;
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/modules/gg_entry/http_session.cc
@@ -0,0 +1,248 @@
+#include "gg_entry/http_session.h"
+
+#include "absl/strings/str_cat.h"
+#include "gg_http/header_policy.h"
+
+namespace greengage {
+namespace {
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+constexpr size_t kReadBytes = 16 * 1024;
+
+/** What may lie unread of a next request while one is handled. */
+constexpr size_t kReadAheadBytes = 64 * 1024;
+
+/** How long a connection is still read after its last answer, so that unread
+    bytes do not reset it before the caller has the answer. */
+constexpr Duration kLingerTime = std::chrono::seconds(1);
+
+/** Longest time for a caller to take its answer. */
+constexpr Duration kWriteLimit = std::chrono::seconds(30);
+
+}  // namespace
+
+HttpSession::HttpSession(asio::ip::tcp::socket socket, Options options)
+    : socket_(std::move(socket)), options_(std::move(options)) {}
+
+void HttpSession::Start() {
+  ErrorCode error;
+  const auto remote = socket_.remote_endpoint(error);
+  if (!error) {
+    peer_ = absl::StrCat(remote.address().to_string(), ":", remote.port());
+  }
+  socket_.set_option(asio::ip::tcp::no_delay(true), error);
+  BeginNext();
+}
+
+void HttpSession::BeginNext() {
+  phase_ = Phase::kIdle;
+  phase_began_ = Now();
+  on_gone_ = nullptr;
+  answer_.reset();
+  sent_continue_ = false;
+  const TrafficLimits limits = options_.limits();
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->header_limit(limits.max_header_bytes);
+  parser_->body_limit(limits.max_body_bytes);
+  if (buffer_.size() > 0) {
+    phase_ = Phase::kReading;
+    request_began_ = last_read_ = Now();
+    Parse();
+  } else {
+    Read();
+  }
+}
+
+void HttpSession::Read() {
+  if (is_read_pending_ || phase_ == Phase::kClosed) return;
+  is_read_pending_ = true;
+  socket_.async_read_some(
+      buffer_.prepare(kReadBytes),
+      [self = shared_from_this()](const ErrorCode& error, size_t count) {
+        self->OnRead(error, count);
+      });
+}
+
+void HttpSession::OnRead(const ErrorCode& error, size_t count) {
+  is_read_pending_ = false;
+  if (phase_ == Phase::kClosed) return;
+  if (error) {
+    has_read_error_ = true;
+    const bool was_handling = phase_ == Phase::kHandling;
+    if (phase_ == Phase::kWriting) return;  // the write tells what follows
+    const auto gone = std::move(on_gone_);
+    Close();
+    if (was_handling && gone) gone();
+    return;
+  }
+  if (phase_ == Phase::kLingering) {
+    Read();
+    return;
+  }
+  buffer_.commit(count);
+  last_read_ = Now();
+  if (phase_ == Phase::kIdle) {
+    phase_ = Phase::kReading;
+    phase_began_ = request_began_ = last_read_;
+  }
+  if (phase_ == Phase::kReading) {
+    Parse();
+  } else if (buffer_.size() < kReadAheadBytes) {
+    Read();
+  }
+}
+
+void HttpSession::Parse() {
+  ErrorCode error;
+  while (buffer_.size() > 0 && !parser_->is_done()) {
+    const size_t used = parser_->put(buffer_.data(), error);
+    buffer_.consume(used);
+    if (error == http::error::need_more) {
+      error = {};
+      break;
+    }
+    if (error) {
+      OnParseError(error);
+      return;
+    }
+    if (used == 0) break;
+  }
+  if (parser_->is_done()) {
+    OnParsed();
+    return;
+  }
+  const bool wants_continue =
+      parser_->is_header_done() && !sent_continue_ &&
+      beast::iequals(parser_->get()[http::field::expect], "100-continue");
+  if (wants_continue) {
+    sent_continue_ = true;
+    static const std::string kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+    // Short enough for an empty send buffer.
+    asio::async_write(socket_, asio::buffer(kContinue),
+                      [self = shared_from_this()](const ErrorCode&, size_t) {});
+  }
+  Read();
+}
+
+void HttpSession::OnParsed() {
+  phase_ = Phase::kHandling;
+  phase_began_ = Now();
+  keep_alive_ = parser_->keep_alive();
+  SessionRequest request = parser_->release();
+  is_head_ = request.method() == http::verb::head;
+  Read();
+  options_.handler(shared_from_this(), std::move(request));
+}
+
+void HttpSession::OnParseError(const ErrorCode& error) {
+  http::status status = http::status::bad_request;
+  if (error == http::error::header_limit) {
+    status = http::status::request_header_fields_too_large;
+  } else if (error == http::error::body_limit) {
+    status = http::status::payload_too_large;
+  }
+  AnswerAndClose(status);
+}
+
+void HttpSession::AnswerAndClose(http::status status) {
+  SessionAnswer answer(status, 11);
+  answer.prepare_payload();
+  Write(std::move(answer), true);
+}
+
+void HttpSession::Answer(SessionAnswer answer, bool close) {
+  if (phase_ != Phase::kHandling) return;  // the caller has left
+  Write(std::move(answer), close);
+}
+
+void HttpSession::Write(SessionAnswer answer, bool close) {
+  phase_ = Phase::kWriting;
+  phase_began_ = Now();
+  on_gone_ = nullptr;
+  const bool ends = close || close_when_idle_ || !keep_alive_;
+  answer_ = std::move(answer);
+  answer_->keep_alive(!ends);
+  const auto done = [self = shared_from_this(), ends](const ErrorCode& error,
+                                                      size_t) {
+    self->OnWritten(error, ends);
+  };
+  if (!is_head_) {
+    http::async_write(socket_, *answer_, done);
+    return;
+  }
+  // The header tells the length of a body that isn't sent.
+  auto serializer =
+      std::make_shared<http::response_serializer<http::string_body>>(*answer_);
+  http::async_write_header(
+      socket_, *serializer,
+      [serializer, done](const ErrorCode& error, size_t count) {
+        done(error, count);
+      });
+}
+
+void HttpSession::OnWritten(const ErrorCode& error, bool close) {
+  if (phase_ == Phase::kClosed) return;
+  if (error || has_read_error_) {
+    Close();
+  } else if (close || close_when_idle_) {
+    Linger();
+  } else {
+    BeginNext();
+  }
+}
+
+void HttpSession::Linger() {
+  phase_ = Phase::kLingering;
+  phase_began_ = Now();
+  buffer_.clear();
+  ErrorCode ignored;
+  socket_.shutdown(asio::socket_base::shutdown_send, ignored);
+  Read();
+}
+
+void HttpSession::Sweep(TimePoint now) {
+  const TrafficLimits limits = options_.limits();
+  switch (phase_) {
+    case Phase::kIdle:
+      if (now - phase_began_ > limits.idle_timeout) Close();
+      break;
+    case Phase::kReading:
+      if (!parser_->is_header_done()) {
+        if (now - phase_began_ > limits.header_timeout) {
+          AnswerAndClose(http::status::request_timeout);
+        }
+      } else if (now - last_read_ > limits.idle_timeout) {
+        AnswerAndClose(http::status::request_timeout);
+      }
+      break;
+    case Phase::kWriting:
+      if (now - phase_began_ > kWriteLimit) Close();
+      break;
+    case Phase::kLingering:
+      if (now - phase_began_ > kLingerTime) Close();
+      break;
+    case Phase::kHandling:
+    case Phase::kClosed:
+      break;
+  }
+}
+
+void HttpSession::CloseWhenIdle() {
+  close_when_idle_ = true;
+  if (phase_ == Phase::kIdle) Close();
+}
+
+void HttpSession::Abort() { Close(); }
+
+void HttpSession::Close() {
+  if (phase_ == Phase::kClosed) return;
+  phase_ = Phase::kClosed;
+  on_gone_ = nullptr;
+  ErrorCode ignored;
+  socket_.close(ignored);
+  if (options_.on_closed) options_.on_closed(this);
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/modules/gg_entry/store_sync.cc
@@ -0,0 +1,159 @@
+#include "gg_entry/store_sync.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "gg_insight/event_log.h"
+
+namespace greengage {
+namespace {
+
+std::string Message(const absl::Status& status) {
+  return {status.message().data(), status.message().size()};
+}
+
+/** Enters what `event` says to exist into the snapshot. */
+void NoteExisting(const FleetEvent& event, SnapshotComplete* snapshot) {
+  if (const auto* target = std::get_if<TargetListed>(&event)) {
+    snapshot->target_ids.insert(target->record.id);
+  } else if (const auto* member = std::get_if<MemberListed>(&event)) {
+    snapshot->member_names.insert(member->member.name);
+  } else if (const auto* zone = std::get_if<EvacuationChanged>(&event)) {
+    if (zone->is_evacuated) snapshot->evacuated_zones.insert(zone->zone);
+  }
+}
+
+}  // namespace
+
+StoreSync::StoreSync(asio::io_context* context, KeyValueStore store,
+                     std::function<std::optional<FleetEvent>(
+                         const std::string&, const std::optional<std::string>&)>
+                         decode_item,
+                     Options options, EventHook on_event)
+    : context_(context),
+      store_(std::move(store)),
+      decode_item_(std::move(decode_item)),
+      options_(std::move(options)),
+      on_event_(std::move(on_event)),
+      random_(options_.seed) {}
+
+void StoreSync::Start() {
+  asio::co_spawn(*context_, Follow(), asio::detached);
+  asio::co_spawn(*context_, Register(), asio::detached);
+}
+
+void StoreSync::Leave() {
+  is_leaving_ = true;
+  if (lease_ != 0) asio::co_spawn(*context_, EndLease(), asio::detached);
+}
+
+asio::awaitable<void> StoreSync::EndLease() {
+  const absl::Status ended = co_await store_.end_lease(lease_);
+  // It ends by itself a little later.
+  if (!ended.ok()) LogError(Event::kStoreUnavailable, ended);
+}
+
+void StoreSync::Report(const absl::Status& status) {
+  on_event_(StoreReachable{status.ok(), Message(status)});
+}
+
+Duration StoreSync::Pause(int failures) {
+  const Duration most =
+      std::min<Duration>(options_.first_pause * (1 << std::min(failures, 6)),
+                         options_.longest_pause);
+  return FromSeconds(ToSeconds(most) * (0.5 + random_.Uniform() / 2));
+}
+
+void StoreSync::Deliver(const KeyValueItem& item, SnapshotComplete* snapshot) {
+  const std::optional<FleetEvent> event = decode_item_(item.key, item.value);
+  if (!event) return;
+  if (snapshot != nullptr) NoteExisting(*event, snapshot);
+  uint64_t& newest = revisions_[item.key];
+  if (item.revision <= newest) return;  // told before
+  newest = item.revision;
+  if (!item.value) revisions_.erase(item.key);
+  on_event_(*event);
+}
+
+asio::awaitable<bool> StoreSync::ReadAll() {
+  SnapshotComplete snapshot;
+  std::string after;
+  uint64_t first_revision = 0;
+  for (;;) {
+    const auto page = co_await store_.read_page(after);
+    Report(page.status());
+    if (!page.ok()) co_return false;
+    // Pages are no snapshot: changes since the first one are watched.
+    if (first_revision == 0) first_revision = page->store_revision;
+    for (const KeyValueItem& item : page->items) Deliver(item, &snapshot);
+    if (!page->has_more || page->items.empty()) break;
+    after = page->items.back().key;
+  }
+  cursor_ = first_revision;
+  on_event_(std::move(snapshot));
+  co_return true;
+}
+
+asio::awaitable<void> StoreSync::Follow() {
+  int failures = 0;
+  for (;;) {
+    const bool is_read = co_await ReadAll();
+    if (!is_read) {
+      co_await SleepFor(Pause(failures++));
+      continue;
+    }
+    failures = 0;
+    co_await WatchOn();
+    LogEvent(LogLevel::kInfo, Event::kStoreReadAnew,
+             absl::StrCat("history gone since revision=", cursor_));
+  }
+}
+
+/** Watches until the history that follows the cursor is gone. */
+asio::awaitable<void> StoreSync::WatchOn() {
+  int failures = 0;
+  for (;;) {
+    const auto changes = co_await store_.watch(cursor_, options_.watch_wait);
+    if (changes.status().code() == absl::StatusCode::kOutOfRange) co_return;
+    Report(changes.status());
+    if (!changes.ok()) {
+      co_await SleepFor(Pause(failures++));
+      continue;
+    }
+    failures = 0;
+    for (const KeyValueItem& item : changes->items) Deliver(item, nullptr);
+    cursor_ = std::max(cursor_, changes->store_revision);
+    if (!changes->items.empty()) co_await SleepFor(options_.gather);
+  }
+}
+
+asio::awaitable<void> StoreSync::Register() {
+  int failures = 0;
+  while (!is_leaving_) {
+    absl::Status status;
+    if (lease_ == 0) {
+      const auto granted = co_await store_.grant_lease(options_.lease_time);
+      status = granted.status();
+      if (granted.ok()) {
+        status = co_await store_.put_member(options_.self, *granted);
+        if (status.ok()) {
+          lease_ = *granted;
+          LogEvent(
+              LogLevel::kInfo, Event::kMemberRegistered,
+              absl::StrCat("host=", options_.self.name, " lease=", lease_));
+        }
+      }
+    } else {
+      status = co_await store_.renew_lease(lease_);
+      if (status.code() == absl::StatusCode::kNotFound) {
+        lease_ = 0;
+        continue;
+      }
+    }
+    Report(status);
+    failures = status.ok() ? 0 : failures + 1;
+    co_await SleepFor(status.ok() ? options_.renew_interval : Pause(failures));
+  }
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/modules/gg_entry/store_sync.h
@@ -0,0 +1,79 @@
+#ifndef GG_ENTRY_STORE_SYNC_H_
+#define GG_ENTRY_STORE_SYNC_H_
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "gg_core/random.h"
+#include "gg_entry/entry_platform.h"
+
+namespace greengage {
+
+/** Follows the store: reads everything, then watches; and keeps this daemon's
+    entry there under a lease.
+
+    Calls are priced and limited, so that changes which come together are read
+    together and failures are followed by growing, scattered pauses. Used on its
+    io_context's thread only. */
+class StoreSync {
+ public:
+  struct Options {
+    Member self;
+    uint64_t seed = 1;
+    /** How long the store waits for a change. Short enough for a connection
+       that fell silent to be found out within the operators' bounds. */
+    Duration watch_wait = std::chrono::seconds(4);
+    /** Pause after a change, so that those close after it come with the same
+        call. A tenth of what operators allow for a change. */
+    Duration gather = std::chrono::milliseconds(150);
+    Duration lease_time = std::chrono::seconds(4);
+    /** A third of the lease time, so that two renewals may fail. */
+    Duration renew_interval = std::chrono::milliseconds(1300);
+    Duration first_pause = std::chrono::milliseconds(100);
+    Duration longest_pause = std::chrono::seconds(1);
+  };
+
+  /** Called with what was learnt. */
+  using EventHook = std::function<void(FleetEvent event)>;
+
+  StoreSync(asio::io_context* context, KeyValueStore store,
+            std::function<std::optional<FleetEvent>(
+                const std::string&, const std::optional<std::string>&)>
+                decode_item,
+            Options options, EventHook on_event);
+
+  //==============================================================================
+  /** Starts following and registering. */
+  void Start();
+
+  /** Takes this daemon's entry out of the store. */
+  void Leave();
+
+ private:
+  asio::awaitable<void> Follow();
+  asio::awaitable<bool> ReadAll();
+  asio::awaitable<void> WatchOn();
+  asio::awaitable<void> Register();
+  asio::awaitable<void> EndLease();
+  void Deliver(const KeyValueItem& item, SnapshotComplete* snapshot);
+  void Report(const absl::Status& status);
+  Duration Pause(int failures);
+
+  asio::io_context* context_;  // not owned
+  KeyValueStore store_;
+  std::function<std::optional<FleetEvent>(const std::string&,
+                                          const std::optional<std::string>&)>
+      decode_item_;
+  Options options_;
+  EventHook on_event_;
+  Random random_;
+  uint64_t cursor_ = 0;
+  std::map<std::string, uint64_t> revisions_;  // by key, newest delivered
+  uint64_t lease_ = 0;
+  bool is_leaving_ = false;
+};
+
+}  // namespace greengage
+
+#endif  // GG_ENTRY_STORE_SYNC_H_
--- /dev/null
+++ b/modules/gg_fleet/fleet_state.h
@@ -0,0 +1,71 @@
+#ifndef GG_FLEET_FLEET_STATE_H_
+#define GG_FLEET_FLEET_STATE_H_
+
+#include <functional>
+#include <set>
+#include <string>
+
+#include "gg_core/event.h"
+#include "gg_fleet/fleet_event.h"
+#include "gg_fleet/fleet_view.h"
+#include "gg_fleet/member_registry.h"
+#include "gg_fleet/target_registry.h"
+
+namespace greengage {
+
+/** What the fleet state tells its surroundings. */
+struct FleetStateHooks {
+  std::function<void(LogLevel level, Event event, const std::string& text)> log;
+  /** Called when what the traffic thread may see has changed. */
+  std::function<void(FleetViewPtr view)> publish;
+};
+
+/** What this daemon believes of the fleet: configuration, targets, evacuations
+    and daemons. Every change is logged with what caused it.
+
+    Control thread only; time is passed in. */
+class FleetState {
+ public:
+  struct Options {
+    TargetRegistry::Options targets;
+    MemberRegistry::Options members;
+  };
+
+  FleetState(Options options, FleetStateHooks hooks);
+
+  //==============================================================================
+  /** Takes over one event.
+      @param wall_ms  the time of day, Unix milliseconds. */
+  void Apply(const FleetEvent& event, TimePoint now, uint64_t wall_ms);
+
+  /** Lets time pass and publishes a view if anything changed. */
+  void Tick(TimePoint now);
+
+ private:
+  void On(const ConfigRead& event, TimePoint now, uint64_t wall_ms);
+  void On(const TargetListed& event, TimePoint now, uint64_t wall_ms);
+  void On(const TargetUnlisted& event, TimePoint now, uint64_t wall_ms);
+  void On(const EvacuationChanged& event, TimePoint now, uint64_t wall_ms);
+  void On(const MemberListed& event, TimePoint now, uint64_t wall_ms);
+  void On(const MemberUnlisted& event, TimePoint now, uint64_t wall_ms);
+  void On(const ValueRefused& event, TimePoint now, uint64_t wall_ms);
+  void On(const SnapshotComplete& event, TimePoint now, uint64_t wall_ms);
+  void On(const StoreReachable& event, TimePoint now, uint64_t wall_ms);
+  void On(const HeartbeatHeard& event, TimePoint now, uint64_t wall_ms);
+  FleetView MakeView(TimePoint now) const;
+  void Log(Event event, const std::string& text) const;
+
+  FleetStateHooks hooks_;
+  TargetRegistry targets_;
+  MemberRegistry members_;
+  FleetConfigPtr config_;
+  std::set<std::string> evacuated_;
+  bool store_reachable_ = false;
+  bool is_dirty_ = false;
+  uint64_t sequence_ = 0;
+  FleetView published_;
+};
+
+}  // namespace greengage
+
+#endif  // GG_FLEET_FLEET_STATE_H_
--- /dev/null
+++ b/modules/gg_fleet/member_registry.cc
@@ -0,0 +1,82 @@
+#include "gg_fleet/member_registry.h"
+
+namespace greengage {
+
+void MemberRegistry::Put(const Member& member, TimePoint now) {
+  if (member.name == options_.self.name) return;
+  Row& row = rows_[member.name];
+  const bool is_new_run = row.member.incarnation != member.incarnation;
+  row.member = member;
+  row.in_store = true;
+  if (!is_new_run) return;
+  row.is_leaving = false;
+  row.heard_at.reset();
+  row.entered_at = now;
+}
+
+void MemberRegistry::Remove(const std::string& name, TimePoint now) {
+  const auto found = rows_.find(name);
+  if (found == rows_.end() || !found->second.in_store) return;
+  found->second.in_store = false;
+  found->second.left_at = now;
+}
+
+void MemberRegistry::Heard(const std::string& name, uint64_t incarnation,
+                           bool is_leaving, TimePoint now) {
+  const auto found = rows_.find(name);
+  if (found == rows_.end()) return;
+  if (found->second.member.incarnation != incarnation) return;
+  found->second.heard_at = now;
+  found->second.is_leaving = is_leaving;
+}
+
+std::vector<Member> MemberRegistry::Serving(TimePoint now) const {
+  std::vector<Member> serving;
+  for (const auto& [name, row] : rows_) {
+    if (row.is_leaving) continue;
+    const TimePoint last_sign = row.heard_at.value_or(row.entered_at);
+    const bool is_heard = now - last_sign < options_.suspect_after;
+    const bool was_never_heard = row.in_store && !row.heard_at;
+    if (is_heard || was_never_heard) serving.push_back(row.member);
+  }
+  return serving;
+}
+
+std::set<std::string> MemberRegistry::ListedNames() const {
+  std::set<std::string> names;
+  for (const auto& [name, row] : rows_) {
+    if (row.in_store) names.insert(name);
+  }
+  return names;
+}
+
+std::vector<std::string> MemberRegistry::PeerAddresses() const {
+  std::vector<std::string> addresses;
+  for (const auto& [name, row] : rows_) {
+    addresses.push_back(row.member.peer_address);
+  }
+  return addresses;
+}
+
+bool MemberRegistry::CountsAsSender(const Row& row, TimePoint now) const {
+  const bool left_lately = now - row.left_at < options_.sender_memory;
+  const bool is_heard =
+      row.heard_at && now - *row.heard_at < options_.sender_memory;
+  return row.in_store || left_lately || is_heard;
+}
+
+void MemberRegistry::Tick(TimePoint now) {
+  std::erase_if(rows_, [&](const auto& entry) {
+    return !CountsAsSender(entry.second, now);
+  });
+}
+
+int MemberRegistry::SenderCount(TimePoint now) const {
+  int count = 1;
+  for (const auto& [name, row] : rows_) {
+    if (CountsAsSender(row, now)) ++count;
+  }
+  return count;
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/modules/gg_fleet/member_registry.h
@@ -0,0 +1,83 @@
+#ifndef GG_FLEET_MEMBER_REGISTRY_H_
+#define GG_FLEET_MEMBER_REGISTRY_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "gg_core/time.h"
+#include "gg_fleet/member.h"
+
+namespace greengage {
+
+/** Table of the daemons: discovered through the store, judged alive by their
+    heartbeats.
+
+    Store and heartbeats confirm each other. A daemon is named to callers while
+    it is heard; one that stands in the store and was never heard is named as
+    well, so that a network without datagrams still works. Control thread only.
+ */
+class MemberRegistry {
+ public:
+  struct Options {
+    Member self;
+    /** Silence after which a daemon is no longer named to callers. Six
+        heartbeats of 250 ms, so that single losses do not matter. */
+    Duration suspect_after = std::chrono::milliseconds(1500);
+    /** How long a daemon that left the store still counts as a sender: longer
+        than any request lasts. */
+    Duration sender_memory = std::chrono::seconds(10);
+  };
+
+  explicit MemberRegistry(Options options) : options_(std::move(options)) {}
+
+  //==============================================================================
+  /** Enters a daemon that stands in the store. */
+  void Put(const Member& member, TimePoint now);
+
+  /** Notes that the daemon `name` no longer stands in the store. */
+  void Remove(const std::string& name, TimePoint now);
+
+  /** Notes a heartbeat of the daemon `name`. A leaving daemon is not named to
+      callers any more. */
+  void Heard(const std::string& name, uint64_t incarnation, bool is_leaving,
+             TimePoint now);
+
+  /** Forgets daemons that left long ago. */
+  void Tick(TimePoint now);
+
+  //==============================================================================
+  /** Returns the daemons to name to callers, without this one. */
+  std::vector<Member> Serving(TimePoint now) const;
+
+  /** Returns the names of the daemons that stand in the store. */
+  std::set<std::string> ListedNames() const;
+
+  /** Returns where heartbeats go. */
+  std::vector<std::string> PeerAddresses() const;
+
+  /** Returns an upper bound on the daemons that may be sending, this one
+      included. */
+  int SenderCount(TimePoint now) const;
+
+ private:
+  struct Row {
+    Member member;
+    bool in_store = false;
+    bool is_leaving = false;
+    std::optional<TimePoint> heard_at;
+    TimePoint entered_at{};
+    TimePoint left_at{};
+  };
+
+  bool CountsAsSender(const Row& row, TimePoint now) const;
+
+  Options options_;
+  std::map<std::string, Row> rows_;
+};
+
+}  // namespace greengage
+
+#endif  // GG_FLEET_MEMBER_REGISTRY_H_
--- /dev/null
+++ b/modules/gg_fleet/target_record.h
@@ -0,0 +1,25 @@
+#ifndef GG_FLEET_TARGET_RECORD_H_
+#define GG_FLEET_TARGET_RECORD_H_
+
+#include <cstdint>
+#include <string>
+
+#include "gg_core/time.h"
+
+namespace greengage {
+
+/** What a target says of itself in the store. */
+struct TargetRecord {
+  std::string id;
+  std::string service;
+  std::string address;  // "ip:port"
+  std::string zone;
+  int slots = 1;  // requests that it runs at once
+  bool is_draining = false;
+  Duration cold_left{};         // from the moment of the write
+  uint64_t incarnation_ms = 0;  // start, Unix milliseconds
+};
+
+}  // namespace greengage
+
+#endif  // GG_FLEET_TARGET_RECORD_H_
--- /dev/null
+++ b/modules/gg_fleet/target_registry.h
@@ -0,0 +1,83 @@
+#ifndef GG_FLEET_TARGET_REGISTRY_H_
+#define GG_FLEET_TARGET_REGISTRY_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "gg_core/time.h"
+#include "gg_fleet/fleet_view.h"
+
+namespace greengage {
+
+struct FleetConfig;
+
+/** Table of the targets that stand in the store.
+
+    A target is usable while its entry says it is ready and its zone is not
+    evacuated. An entry that disappears while the store was in trouble lately is
+    kept for a grace time, because entries lapse during an outage and come back
+    soon after it. A target counts as cold until it is known to be warm.
+
+    Control thread only; callers pass the time. */
+class TargetRegistry {
+ public:
+  struct Options {
+    std::map<std::string, std::string> zone_regions;
+    /** How long a lapsed entry is still used. Below the operators' drain bound
+        (2.5 s), which holds for a real departure as well. */
+    Duration lapse_grace = std::chrono::milliseconds(2000);
+    /** How long after trouble of the store a lost entry counts as lapsed. */
+    Duration trouble_window = std::chrono::seconds(4);
+  };
+
+  explicit TargetRegistry(Options options) : options_(std::move(options)) {}
+
+  //==============================================================================
+  /** Enters or replaces a target.
+      @param wall_ms  the time of day, Unix milliseconds. */
+  void Put(const TargetRecord& record, const FleetConfig* config, TimePoint now,
+           uint64_t wall_ms);
+
+  /** Takes out the target `id`, at once or after the grace time. */
+  void Remove(const std::string& id, TimePoint now);
+
+  /** Notes that the store failed to answer at `now`. */
+  void NoteStoreTrouble(TimePoint now) { last_trouble_ = now; }
+
+  /** Sets the zones that get nothing. Targets of a zone that comes back count
+      as cold. */
+  void SetEvacuated(const std::set<std::string>& zones,
+                    const FleetConfig* config, TimePoint now);
+
+  /** Drops entries whose grace time is over.
+      @return true when the usable set changed. */
+  bool Tick(TimePoint now);
+
+  //==============================================================================
+  /** Returns the targets that may be sent work. */
+  std::vector<UsableTarget> Usable() const;
+
+  /** Returns the identifiers of all entries. */
+  std::set<std::string> Ids() const;
+
+ private:
+  struct Row {
+    UsableTarget target;
+    std::optional<TimePoint> remove_at;
+  };
+
+  Duration ColdTime(const std::string& service,
+                    const FleetConfig* config) const;
+
+  Options options_;
+  std::map<std::string, Row> rows_;
+  std::set<std::string> evacuated_;
+  std::optional<TimePoint> last_trouble_;
+};
+
+}  // namespace greengage
+
+#endif  // GG_FLEET_TARGET_REGISTRY_H_
--- /dev/null
+++ b/modules/gg_request/target_board.h
@@ -0,0 +1,99 @@
+#ifndef GG_REQUEST_TARGET_BOARD_H_
+#define GG_REQUEST_TARGET_BOARD_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "gg_core/time.h"
+#include "gg_fleet/fleet_view.h"
+
+namespace greengage {
+
+/** How one attempt at a target ended. */
+enum class AttemptEnd {
+  kAnswered,   // an answer of the target's own
+  kShed,       // the target said that it did not run the request
+  kFailed,     // no answer, a broken one, or a failure of the target's own
+  kTimedOut,   // no answer within the time
+  kCancelled,  // ended from our side; says nothing about the target
+};
+
+inline constexpr EnumNames<AttemptEnd, 5> kAttemptEndNames{
+    {"answered", "shed", "failed", "timed_out", "cancelled"}};
+
+/** One row of the board: a target and what this daemon knows of its work. */
+struct BoardRow {
+  UsableTarget target;
+  std::string key;  // identifier and incarnation; empty: the row is free
+  uint64_t id_hash = 0;
+  bool is_listed = true;  // still usable according to the store
+  int own_in_flight = 0;
+  int peers_in_flight = 0;   // sum of the last heartbeats
+  double reported_load = 0;  // running and waiting, from its last answer
+  TimePoint reported_at{};
+  double slowness = 1;  // answer times against the service's usual
+  int failures_in_row = 0;
+  TimePoint ejected_until{};
+};
+
+/** Table of the targets with the work in flight at each: this daemon's own,
+   what other daemons tell, and what targets tell in their answers. Traffic
+   thread only. */
+class TargetBoard {
+ public:
+  struct Options {
+    /** Failures in a row after which a target rests. One can be chance. */
+    int failures_to_eject = 2;
+    Duration first_rest = std::chrono::seconds(1);
+    Duration longest_rest = std::chrono::seconds(8);
+    /** How long a target's own statement is believed. A few service times. */
+    Duration report_lifetime = std::chrono::milliseconds(400);
+  };
+
+  explicit TargetBoard(Options options) : options_(options) {}
+
+  //==============================================================================
+  /** Takes over the targets of a view; rows keep what is known of them. */
+  void SetTargets(const FleetView& view);
+
+  /** Sets the work of other daemons, by target hash. */
+  void SetPeerWork(const std::map<uint64_t, int>& in_flight);
+
+  //==============================================================================
+  /** Notes that a request goes to `row`. */
+  void Begin(size_t row);
+
+  /** Notes the end of an attempt.
+      @param relative_time  its time against what is usual for its route, or 0
+             when unknown.
+      @return true when the target was put to rest by this. */
+  bool End(size_t row, AttemptEnd end, double relative_time, TimePoint now);
+
+  /** Notes what a target said of its load. */
+  void NoteReport(size_t row, double load, TimePoint now);
+
+  //==============================================================================
+  /** Requests at the target against its slots, as far as known. */
+  double Utilization(const BoardRow& row, TimePoint now) const;
+
+  /** Returns the rows of `service`, as indices. */
+  const std::vector<size_t>& RowsOf(const std::string& service) const;
+
+  const BoardRow& row(size_t index) const { return rows_[index]; }
+  size_t size() const { return rows_.size(); }
+
+ private:
+  size_t NewRow(const std::string& key);
+
+  Options options_;
+  std::vector<BoardRow> rows_;
+  std::vector<size_t> free_;             // rows to be used again
+  std::map<std::string, size_t> by_id_;  // "id/incarnation"
+  std::map<std::string, std::vector<size_t>> by_service_;
+};
+
+}  // namespace greengage
+
+#endif  // GG_REQUEST_TARGET_BOARD_H_
--- /dev/null
+++ b/modules/gg_request/target_picker.h
@@ -0,0 +1,101 @@
+#ifndef GG_REQUEST_TARGET_PICKER_H_
+#define GG_REQUEST_TARGET_PICKER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gg_core/random.h"
+#include "gg_request/cold_pacer.h"
+#include "gg_request/proportional_choice.h"
+#include "gg_request/region_plan.h"
+#include "gg_request/target_board.h"
+
+namespace greengage {
+
+struct RouteRule;
+
+/** Why no target can take a request. */
+enum class NoTarget { kNone, kNoneUsable, kAllFull };
+
+inline constexpr EnumNames<NoTarget, 3> kNoTargetNames{
+    {"none", "no_usable_target", "all_targets_full"}};
+
+/** What is asked of the picker. */
+struct PickRequest {
+  const RouteRule* route = nullptr;
+  std::string_view service;
+  std::string_view object;    // empty: none
+  std::vector<size_t> tried;  // rows that are not to be used again
+  std::string region;         // of an earlier try, or empty
+};
+
+/** The picker's answer. */
+struct Pick {
+  std::optional<size_t> row;
+  std::string region;  // where the request is to run
+  NoTarget reason = NoTarget::kNone;
+  bool is_first_choice = false;  // the object's first target
+};
+
+/** Chooses the target of a request.
+
+    Load pattern: an object's requests run three times faster at a target that
+    handled it lately, and targets remember a few dozen objects. Each object
+   goes to few targets of a region, the same ones from every daemon (rendezvous
+    hashing), to the next in its order only when those are busy. The region is
+    dealt out by a plan that changes slowly. Traffic thread only. */
+class TargetPicker {
+ public:
+  struct Options {
+    std::string self;    // name of this daemon
+    std::string region;  // of this daemon
+    std::vector<std::string> regions;
+    uint64_t seed = 1;
+    /** Targets of an object in one region before busy ones are passed over. */
+    size_t object_targets = 2;
+    /** Requests at a target against its slots, above which it is busy. */
+    double busy_utilization = 1.0;
+    /** The same, above which nothing more is sent to it. */
+    double full_utilization = 2.0;
+    double cold_slack = 0;  // see ColdPacer
+  };
+
+  TargetPicker(Options options, TargetBoard* board);
+
+  /** Sets a new view. The board must have it already. */
+  void SetView(FleetViewPtr view);
+
+  /** Chooses, and takes from the cold target's share where one is chosen. */
+  Pick Choose(const PickRequest& request, TimePoint now);
+
+ private:
+  struct ServicePlan {
+    std::map<std::string, RegionLoad> regions;
+    ShareLimiter limiter{ShareLimiter::Options{}};
+    ProportionalChoice choice;
+  };
+
+  std::string ChooseRegion(const PickRequest& request, TimePoint now);
+  std::vector<size_t> Candidates(const PickRequest& request,
+                                 const std::string& region, TimePoint now);
+  bool IsUsable(size_t row, const PickRequest& request, TimePoint now);
+  double ColdRate(const BoardRow& row) const;
+  double Cost(const BoardRow& row, TimePoint now) const;
+  size_t PickOf(const std::vector<size_t>& ordered, bool has_object,
+                TimePoint now, bool* is_first);
+
+  Options options_;
+  TargetBoard* board_;  // not owned
+  FleetViewPtr view_;
+  std::map<std::string, ServicePlan> plans_;  // by route and service
+  ColdPacer pacer_;
+  Random random_;
+};
+
+}  // namespace greengage
+
+#endif  // GG_REQUEST_TARGET_PICKER_H_
--- /dev/null
+++ b/modules/gg_wire/entry_heartbeat_codec.h
@@ -0,0 +1,33 @@
+#ifndef GG_WIRE_ENTRY_HEARTBEAT_CODEC_H_
+#define GG_WIRE_ENTRY_HEARTBEAT_CODEC_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "absl/status/statusor.h"
+
+namespace greengage {
+
+/** What an entry host's daemon tells the others several times a second. */
+struct EntryHeartbeat {
+  std::string sender;  // name of the host
+  uint64_t incarnation = 0;
+  bool is_leaving = false;
+  /** Requests in flight from the sender, by the hash of the target. */
+  std::map<uint64_t, int> in_flight;
+};
+
+/** Returns the datagram of `heartbeat`. */
+std::string EncodeEntryHeartbeat(const EntryHeartbeat& heartbeat);
+
+/** Verifies and decodes a datagram.
+    @param peer  its sender, for the error.
+    @return kInvalidArgument for anything that is no whole heartbeat. */
+absl::StatusOr<EntryHeartbeat> DecodeEntryHeartbeat(std::string_view datagram,
+                                                    std::string_view peer);
+
+}  // namespace greengage
+
+#endif  // GG_WIRE_ENTRY_HEARTBEAT_CODEC_H_
