Keep an object at one target, and let it wait there under overload

Change: one target an object and region, spill only to idle targets, cold targets only where there is no other, slowness judged on known objects only.

--- a/modules/gg_entry/request_run.cc
+++ b/modules/gg_entry/request_run.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "gg_core/hash.h"
 #include "gg_http/header_policy.h"
 #include "gg_insight/event_log.h"
 #include "gg_insight/metrics.h"
@@ -249,6 +250,17 @@
   PassOn(*std::move(outcome.answer), now);
 }
 
+double RequestRun::RelativeTime(TimePoint now) {
+  if (!route_->sticky || caller_.object.empty()) return 0;
+  const uint64_t object = Hash64(caller_.object, Hash64(route_->name));
+  TargetBoard& board = traffic_->board();
+  // Only work on a known object is comparable: the first is much slower.
+  const bool is_known = board.KnowsObject(board.row(row_), object, now);
+  board.NoteObject(row_, object, now);
+  return is_known ? traffic_->RelativeTime(route_->name, now - attempt_began_)
+                  : 0;
+}
+
 void RequestRun::OnFault(AttemptFault fault, const std::string& reason,
                          TimePoint now) {
   if (is_over_) return;
--- a/modules/gg_entry/request_run.h
+++ b/modules/gg_entry/request_run.h
@@ -38,6 +38,7 @@
   void EndAttempt(AttemptEnd end, double relative_time, TimePoint now);
   void Log(LogLevel level, Event event, const std::string& text,
            TimePoint now) const;
+  double RelativeTime(TimePoint now);
   Duration Left(TimePoint now) const;
   std::string RowKey() const;
 
--- a/modules/gg_request/target_board.cc
+++ b/modules/gg_request/target_board.cc
@@ -1,6 +1,7 @@
 #include "gg_request/target_board.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "absl/strings/str_cat.h"
 #include "gg_core/hash.h"
@@ -8,9 +9,9 @@
 namespace greengage {
 namespace {
 
-/** Weight of the newest answer in a target's slowness; some ten answers count.
+/** Weight of the newest answer in a target's slowness; some five answers count.
  */
-constexpr double kSlownessWeight = 0.1;
+constexpr double kSlownessWeight = 0.2;
 
 }  // namespace
 
@@ -68,7 +69,9 @@
       row.failures_in_row = 0;
       row.ejected_until = {};
       if (relative_time > 0) {
-        row.slowness += kSlownessWeight * (relative_time - row.slowness);
+        const double known = Slowness(row, now);
+        row.slowness = known + kSlownessWeight * (relative_time - known);
+        row.slowness_at = now;
       }
       return false;
     case AttemptEnd::kShed:
@@ -86,6 +89,29 @@
   return true;
 }
 
+void TargetBoard::NoteObject(size_t index, uint64_t object, TimePoint now) {
+  auto& objects = rows_[index].objects;
+  objects[object] = now;
+  if (objects.size() <= options_.most_objects) return;
+  const auto oldest = std::min_element(
+      objects.begin(), objects.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  objects.erase(oldest);
+}
+
+bool TargetBoard::KnowsObject(const BoardRow& row, uint64_t object,
+                              TimePoint now) const {
+  const auto found = row.objects.find(object);
+  return found != row.objects.end() &&
+         now - found->second < options_.object_lifetime;
+}
+
+double TargetBoard::Slowness(const BoardRow& row, TimePoint now) const {
+  const double age =
+      ToSeconds(now - row.slowness_at) / ToSeconds(options_.slowness_half_life);
+  return 1 + (row.slowness - 1) * std::exp2(-age);
+}
+
 void TargetBoard::NoteReport(size_t row, double load, TimePoint now) {
   rows_[row].reported_load = load;
   rows_[row].reported_at = now;
--- a/modules/gg_request/target_board.h
+++ b/modules/gg_request/target_board.h
@@ -33,7 +33,10 @@
   int peers_in_flight = 0;   // sum of the last heartbeats
   double reported_load = 0;  // running and waiting, from its last answer
   TimePoint reported_at{};
-  double slowness = 1;  // answer times against the service's usual
+  double slowness = 1;  // answer times against what is usual, at slowness_at
+  TimePoint slowness_at{};
+  /** Objects that this daemon has seen answered there, and when last. */
+  std::map<uint64_t, TimePoint> objects;
   int failures_in_row = 0;
   TimePoint ejected_until{};
 };
@@ -50,6 +53,12 @@
     Duration longest_rest = std::chrono::seconds(8);
     /** How long a target's own statement is believed. A few service times. */
     Duration report_lifetime = std::chrono::milliseconds(400);
+    /** Time in which what is known of a slow target halves. */
+    Duration slowness_half_life = std::chrono::seconds(3);
+    /** How long a target is taken to remember an object, and how many objects
+        of one target are kept in mind. */
+    Duration object_lifetime = std::chrono::seconds(20);
+    size_t most_objects = 128;
   };
 
   explicit TargetBoard(Options options) : options_(options) {}
@@ -71,6 +80,13 @@
       @return true when the target was put to rest by this. */
   bool End(size_t row, AttemptEnd end, double relative_time, TimePoint now);
 
+  /** Notes that the target has handled an object. */
+  void NoteObject(size_t row, uint64_t object, TimePoint now);
+
+  /** Returns whether the target has handled the object lately, as far as this
+      daemon knows. */
+  bool KnowsObject(const BoardRow& row, uint64_t object, TimePoint now) const;
+
   /** Notes what a target said of its load. */
   void NoteReport(size_t row, double load, TimePoint now);
 
@@ -78,6 +94,10 @@
   /** Requests at the target against its slots, as far as known. */
   double Utilization(const BoardRow& row, TimePoint now) const;
 
+  /** Answer times of the target against what is usual: 1 is usual. What is
+     known of it fades, so that a target that recovered is tried again. */
+  double Slowness(const BoardRow& row, TimePoint now) const;
+
   /** Returns the rows of `service`, as indices. */
   const std::vector<size_t>& RowsOf(const std::string& service) const;
 
--- a/modules/gg_request/target_picker.cc
+++ b/modules/gg_request/target_picker.cc
@@ -91,6 +91,13 @@
     if (board_->row(index).target.region != region) continue;
     if (IsUsable(index, request, now)) candidates.push_back(index);
   }
+  // A cold target works so slowly that its answers are late: only where there
+  // is no other.
+  std::vector<size_t> warm;
+  for (const size_t index : candidates) {
+    if (board_->row(index).target.cold_until <= now) warm.push_back(index);
+  }
+  if (!warm.empty()) candidates = std::move(warm);
   if (request.object.empty()) return candidates;
   const uint64_t object = Hash64(request.object);
   std::sort(candidates.begin(), candidates.end(), [&](size_t a, size_t b) {
@@ -100,41 +107,37 @@
 }
 
 double TargetPicker::Cost(const BoardRow& row, TimePoint now) const {
-  const double slots = std::max(row.target.record.slots, 1);
-  const double slow = row.slowness < kSlowFrom ? 1 : row.slowness;
-  return (board_->Utilization(row, now) + 1 / slots) * slow;
+  const double slow = board_->Slowness(row, now);
+  return board_->Utilization(row, now) * (slow < kSlowFrom ? 1 : slow);
 }
 
-size_t TargetPicker::PickOf(const std::vector<size_t>& ordered, bool has_object,
-                            TimePoint now, bool* is_first) {
-  *is_first = false;
-  if (has_object) {
-    // The object's own targets first, then the next ones that are not busy.
-    const size_t own = std::min(options_.object_targets, ordered.size());
-    const auto cheaper = [&](size_t a, size_t b) {
-      return Cost(board_->row(a), now) < Cost(board_->row(b), now);
-    };
-    const size_t best =
-        *std::min_element(ordered.begin(), ordered.begin() + own, cheaper);
-    if (Cost(board_->row(best), now) <= options_.busy_utilization) {
-      *is_first = best == ordered.front();
-      return best;
-    }
-    for (const size_t index : ordered) {
-      if (Cost(board_->row(index), now) <= options_.busy_utilization) {
-        return index;
-      }
+size_t TargetPicker::PickForObject(const std::vector<size_t>& ordered,
+                                   TimePoint now) const {
+  const auto is_slow = [&](size_t index) {
+    return board_->Slowness(board_->row(index), now) >= kSlowFrom;
+  };
+  const size_t first = ordered.front();
+  if (!is_slow(first) && board_->Utilization(board_->row(first), now) <
+                             options_.stay_utilization) {
+    return first;
+  }
+  for (const size_t index : ordered) {
+    const double utilization = board_->Utilization(board_->row(index), now);
+    if (utilization < options_.spill_utilization && !is_slow(index)) {
+      return index;
     }
   }
-  size_t best = ordered.front();
-  double lowest = Cost(board_->row(best), now);
-  const size_t start = random_.Below(ordered.size());
-  for (size_t i = 0; i < ordered.size(); ++i) {
-    const size_t index = ordered[(start + i) % ordered.size()];
-    const double cost = Cost(board_->row(index), now);
-    if (cost < lowest) {
+  return first;
+}
+
+size_t TargetPicker::PickIdlest(const std::vector<size_t>& candidates,
+                                TimePoint now) {
+  const size_t start = random_.Below(candidates.size());
+  size_t best = candidates[start];
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    const size_t index = candidates[(start + i) % candidates.size()];
+    if (Cost(board_->row(index), now) < Cost(board_->row(best), now)) {
       best = index;
-      lowest = cost;
     }
   }
   return best;
@@ -158,8 +161,9 @@
     pick.reason = NoTarget::kNoneUsable;
     return pick;
   }
-  const size_t best =
-      PickOf(candidates, !request.object.empty(), now, &pick.is_first_choice);
+  const size_t best = request.object.empty() ? PickIdlest(candidates, now)
+                                             : PickForObject(candidates, now);
+  pick.is_first_choice = best == candidates.front();
   const BoardRow& row = board_->row(best);
   if (board_->Utilization(row, now) >= options_.full_utilization) {
     pick.reason = NoTarget::kAllFull;
--- a/modules/gg_request/target_picker.h
+++ b/modules/gg_request/target_picker.h
@@ -55,12 +55,14 @@
     std::string region;  // of this daemon
     std::vector<std::string> regions;
     uint64_t seed = 1;
-    /** Targets of an object in one region before busy ones are passed over. */
-    size_t object_targets = 2;
-    /** Requests at a target against its slots, above which it is busy. */
-    double busy_utilization = 1.0;
-    /** The same, above which nothing more is sent to it. */
-    double full_utilization = 2.0;
+    /** Requests at a target against its slots up to which an object stays with
+        its target: a wait of half a service time there is shorter than the work
+        of a target that does not know the object (three service times). */
+    double stay_utilization = 1.5;
+    /** The same, up to which another target takes the object over. */
+    double spill_utilization = 0.6;
+    /** The same, above which nothing more is sent to a target. */
+    double full_utilization = 2.2;
     double cold_slack = 0;  // see ColdPacer
   };
 
@@ -85,8 +87,8 @@
   bool IsUsable(size_t row, const PickRequest& request, TimePoint now);
   double ColdRate(const BoardRow& row) const;
   double Cost(const BoardRow& row, TimePoint now) const;
-  size_t PickOf(const std::vector<size_t>& ordered, bool has_object,
-                TimePoint now, bool* is_first);
+  size_t PickForObject(const std::vector<size_t>& ordered, TimePoint now) const;
+  size_t PickIdlest(const std::vector<size_t>& candidates, TimePoint now);
 
   Options options_;
   TargetBoard* board_;  // not owned
