Tell an outage of the store from being cut off alone

Change: heartbeats say whether the store answers their sender; the grace time is given only after an outage for every daemon that is heard, and counts from its end. While the store does not answer, only lease renewals ask for it.

--- a/modules/gg_entry/entry_daemon.cc
+++ b/modules/gg_entry/entry_daemon.cc
@@ -105,7 +105,7 @@
                                     })),
         store(&io, platform.open_store(&io, settings.store_address),
               platform.decode_item, {.self = self, .seed = RandomSeed()},
-              [this](FleetEvent event) { control.Send(std::move(event)); }),
+              [this](FleetEvent event) { OnStoreEvent(std::move(event)); }),
         ticker(io),
         signals(io, SIGTERM, SIGINT, SIGHUP),
         control(MakeControlOptions()) {}
@@ -127,6 +127,13 @@
     return options;
   }
 
+  void OnStoreEvent(FleetEvent event) {
+    if (const auto* reachable = std::get_if<StoreReachable>(&event)) {
+      heartbeats.SetStoreReachable(reachable->is_reachable);
+    }
+    control.Send(std::move(event));
+  }
+
   HttpListener::Options MakeListener(const std::string& address,
                                      SessionHandler handler) {
     return {.address = address,
--- a/modules/gg_entry/heartbeat_exchange.cc
+++ b/modules/gg_entry/heartbeat_exchange.cc
@@ -67,7 +67,7 @@
   work.in_flight = std::move(heartbeat->in_flight);
   work.heard_at = Now();
   on_event_(HeartbeatHeard{heartbeat->sender, heartbeat->incarnation,
-                           heartbeat->is_leaving});
+                           heartbeat->is_leaving, heartbeat->store_reachable});
 }
 
 void HeartbeatExchange::ScheduleSend() {
@@ -82,7 +82,8 @@
 void HeartbeatExchange::SendToAll() {
   EntryHeartbeat heartbeat{.sender = options_.host_name,
                            .incarnation = options_.incarnation,
-                           .is_leaving = is_leaving_};
+                           .is_leaving = is_leaving_,
+                           .store_reachable = store_reachable_};
   for (size_t i = 0; i < board_->size(); ++i) {
     const BoardRow& row = board_->row(i);
     if (row.own_in_flight > 0) {
--- a/modules/gg_entry/heartbeat_exchange.h
+++ b/modules/gg_entry/heartbeat_exchange.h
@@ -44,6 +44,9 @@
   /** Sets where heartbeats go. */
   void SetPeers(const std::vector<std::string>& addresses);
 
+  /** Sets whether the store answers this daemon. */
+  void SetStoreReachable(bool is_reachable) { store_reachable_ = is_reachable; }
+
   /** Tells the others at once that this daemon leaves. */
   void Leave();
 
@@ -72,6 +75,7 @@
   std::array<char, 24 * 1024> datagram_{};
   asio::ip::udp::endpoint sender_;
   bool is_leaving_ = false;
+  bool store_reachable_ = false;
 };
 
 }  // namespace greengage
--- a/modules/gg_entry/store_sync.cc
+++ b/modules/gg_entry/store_sync.cc
@@ -53,7 +53,18 @@
   if (!ended.ok()) LogError(Event::kStoreUnavailable, ended);
 }
 
+asio::awaitable<void> StoreSync::WaitForStore(int failures) {
+  co_await SleepFor(Pause(failures));
+  const TimePoint give_up =
+      std::chrono::steady_clock::now() + options_.longest_wait;
+  while (!is_reachable_ && lease_ != 0 &&
+         std::chrono::steady_clock::now() < give_up) {
+    co_await SleepFor(options_.first_pause);
+  }
+}
+
 void StoreSync::Report(const absl::Status& status) {
+  is_reachable_ = status.ok();
   on_event_(StoreReachable{status.ok(), Message(status)});
 }
 
@@ -99,7 +110,7 @@
   for (;;) {
     const bool is_read = co_await ReadAll();
     if (!is_read) {
-      co_await SleepFor(Pause(failures++));
+      co_await WaitForStore(failures++);
       continue;
     }
     failures = 0;
@@ -117,7 +128,7 @@
     if (changes.status().code() == absl::StatusCode::kOutOfRange) co_return;
     Report(changes.status());
     if (!changes.ok()) {
-      co_await SleepFor(Pause(failures++));
+      co_await WaitForStore(failures++);
       continue;
     }
     failures = 0;
--- a/modules/gg_entry/store_sync.h
+++ b/modules/gg_entry/store_sync.h
@@ -31,7 +31,10 @@
     /** A third of the lease time, so that two renewals may fail. */
     Duration renew_interval = std::chrono::milliseconds(1300);
     Duration first_pause = std::chrono::milliseconds(100);
-    Duration longest_pause = std::chrono::seconds(1);
+    Duration longest_pause = std::chrono::milliseconds(600);
+    /** Longest time that following waits for a renewal to tell that the store
+       is back; renewals cost a tenth of a read. */
+    Duration longest_wait = std::chrono::seconds(3);
   };
 
   /** Called with what was learnt. */
@@ -57,6 +60,7 @@
   asio::awaitable<void> Register();
   asio::awaitable<void> EndLease();
   void Deliver(const KeyValueItem& item, SnapshotComplete* snapshot);
+  asio::awaitable<void> WaitForStore(int failures);
   void Report(const absl::Status& status);
   Duration Pause(int failures);
 
@@ -71,6 +75,7 @@
   uint64_t cursor_ = 0;
   std::map<std::string, uint64_t> revisions_;  // by key, newest delivered
   uint64_t lease_ = 0;
+  bool is_reachable_ = false;
   bool is_leaving_ = false;
 };
 
--- a/modules/gg_fleet/fleet_event.h
+++ b/modules/gg_fleet/fleet_event.h
@@ -68,6 +68,7 @@
   std::string name;
   uint64_t incarnation = 0;
   bool is_leaving = false;
+  bool store_reachable = false;  // for the sender
 };
 
 /** Something that changes what the daemon believes of the fleet. */
--- a/modules/gg_fleet/fleet_state.cc
+++ b/modules/gg_fleet/fleet_state.cc
@@ -29,6 +29,9 @@
 }
 
 void FleetState::Tick(TimePoint now) {
+  if (!store_reachable_ && members_.StoreFailsEveryone(now)) {
+    targets_.NoteOutage(now);
+  }
   if (targets_.Tick(now)) is_dirty_ = true;
   members_.Tick(now);
   const std::vector<Member> serving = members_.Serving(now);
@@ -142,11 +145,9 @@
   }
 }
 
-void FleetState::On(const StoreReachable& event, TimePoint now,
+void FleetState::On(const StoreReachable& event, TimePoint /*now*/,
                     uint64_t /*wall_ms*/) {
-  if (!event.is_reachable) targets_.NoteStoreTrouble(now);
   if (event.is_reachable == store_reachable_) return;
-  if (event.is_reachable) targets_.NoteStoreTrouble(now);
   store_reachable_ = event.is_reachable;
   hooks_.log(
       event.is_reachable ? LogLevel::kInfo : LogLevel::kWarning,
@@ -156,7 +157,7 @@
 
 void FleetState::On(const HeartbeatHeard& event, TimePoint now,
                     uint64_t /*wall_ms*/) {
-  members_.Heard(event.name, event.incarnation, event.is_leaving, now);
+  members_.Heard(event, now);
 }
 
 }  // namespace greengage
--- a/modules/gg_fleet/member_registry.cc
+++ b/modules/gg_fleet/member_registry.cc
@@ -21,13 +21,26 @@
   found->second.left_at = now;
 }
 
-void MemberRegistry::Heard(const std::string& name, uint64_t incarnation,
-                           bool is_leaving, TimePoint now) {
-  const auto found = rows_.find(name);
+void MemberRegistry::Heard(const HeartbeatHeard& heartbeat, TimePoint now) {
+  const auto found = rows_.find(heartbeat.name);
   if (found == rows_.end()) return;
-  if (found->second.member.incarnation != incarnation) return;
-  found->second.heard_at = now;
-  found->second.is_leaving = is_leaving;
+  Row& row = found->second;
+  if (row.member.incarnation != heartbeat.incarnation) return;
+  row.heard_at = now;
+  row.is_leaving = heartbeat.is_leaving;
+  row.store_reachable = heartbeat.store_reachable;
+}
+
+bool MemberRegistry::StoreFailsEveryone(TimePoint now) const {
+  bool hears_any = false;
+  for (const auto& [name, row] : rows_) {
+    const bool is_heard =
+        row.heard_at && now - *row.heard_at < options_.suspect_after;
+    if (!is_heard) continue;
+    if (row.store_reachable) return false;
+    hears_any = true;
+  }
+  return hears_any || rows_.empty();
 }
 
 std::vector<Member> MemberRegistry::Serving(TimePoint now) const {
--- a/modules/gg_fleet/member_registry.h
+++ b/modules/gg_fleet/member_registry.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "gg_core/time.h"
+#include "gg_fleet/fleet_event.h"
 #include "gg_fleet/member.h"
 
 namespace greengage {
@@ -40,10 +41,8 @@
   /** Notes that the daemon `name` no longer stands in the store. */
   void Remove(const std::string& name, TimePoint now);
 
-  /** Notes a heartbeat of the daemon `name`. A leaving daemon is not named to
-      callers any more. */
-  void Heard(const std::string& name, uint64_t incarnation, bool is_leaving,
-             TimePoint now);
+  /** Notes a heartbeat. A leaving daemon is not named to callers any more. */
+  void Heard(const HeartbeatHeard& heartbeat, TimePoint now);
 
   /** Forgets daemons that left long ago. */
   void Tick(TimePoint now);
@@ -55,6 +54,11 @@
   /** Returns the names of the daemons that stand in the store. */
   std::set<std::string> ListedNames() const;
 
+  /** Returns whether the store fails all daemons that are heard, or there are
+     no others to ask. A daemon that hears nobody of others that exist is itself
+      cut off. */
+  bool StoreFailsEveryone(TimePoint now) const;
+
   /** Returns where heartbeats go. */
   std::vector<std::string> PeerAddresses() const;
 
@@ -67,6 +71,7 @@
     Member member;
     bool in_store = false;
     bool is_leaving = false;
+    bool store_reachable = false;
     std::optional<TimePoint> heard_at;
     TimePoint entered_at{};
     TimePoint left_at{};
--- a/modules/gg_fleet/target_registry.cc
+++ b/modules/gg_fleet/target_registry.cc
@@ -55,11 +55,11 @@
 void TargetRegistry::Remove(const std::string& id, TimePoint now) {
   const auto found = rows_.find(id);
   if (found == rows_.end() || found->second.remove_at) return;
-  const bool may_be_lapse = last_trouble_ &&
-                            now - *last_trouble_ < options_.trouble_window &&
+  const bool may_be_lapse = last_outage_ &&
+                            now < *last_outage_ + options_.lapse_grace &&
                             !found->second.target.record.is_draining;
   if (may_be_lapse) {
-    found->second.remove_at = now + options_.lapse_grace;
+    found->second.remove_at = *last_outage_ + options_.lapse_grace;
   } else {
     rows_.erase(found);
   }
--- a/modules/gg_fleet/target_registry.h
+++ b/modules/gg_fleet/target_registry.h
@@ -17,20 +17,19 @@
 /** Table of the targets that stand in the store.
 
     A target is usable while its entry says it is ready and its zone is not
-    evacuated. An entry that disappears while the store was in trouble lately is
-    kept for a grace time, because entries lapse during an outage and come back
-    soon after it. A target counts as cold until it is known to be warm.
+    evacuated. An entry that is missing after an outage of the store is used for
+   a grace time, because entries lapse during an outage and come back soon after
+    it. One that is missing after this daemon alone was cut off is gone. A
+   target counts as cold until it is known to be warm.
 
     Control thread only; callers pass the time. */
 class TargetRegistry {
  public:
   struct Options {
     std::map<std::string, std::string> zone_regions;
-    /** How long a lapsed entry is still used. Below the operators' drain bound
-        (2.5 s), which holds for a real departure as well. */
+    /** How long after an outage a missing entry is used. Targets are back about
+        two seconds after the store; the operators' drain bound is 2.5 s. */
     Duration lapse_grace = std::chrono::milliseconds(2000);
-    /** How long after trouble of the store a lost entry counts as lapsed. */
-    Duration trouble_window = std::chrono::seconds(4);
   };
 
   explicit TargetRegistry(Options options) : options_(std::move(options)) {}
@@ -41,11 +40,12 @@
   void Put(const TargetRecord& record, const FleetConfig* config, TimePoint now,
            uint64_t wall_ms);
 
-  /** Takes out the target `id`, at once or after the grace time. */
+  /** Takes out the target `id`: at once, or when the grace time after an outage
+      is over. */
   void Remove(const std::string& id, TimePoint now);
 
-  /** Notes that the store failed to answer at `now`. */
-  void NoteStoreTrouble(TimePoint now) { last_trouble_ = now; }
+  /** Notes that the store answers no daemon at `now`. */
+  void NoteOutage(TimePoint now) { last_outage_ = now; }
 
   /** Sets the zones that get nothing. Targets of a zone that comes back count
       as cold. */
@@ -75,7 +75,7 @@
   Options options_;
   std::map<std::string, Row> rows_;
   std::set<std::string> evacuated_;
-  std::optional<TimePoint> last_trouble_;
+  std::optional<TimePoint> last_outage_;
 };
 
 }  // namespace greengage
--- a/modules/gg_wire/entry_heartbeat_codec.cc
+++ b/modules/gg_wire/entry_heartbeat_codec.cc
@@ -16,10 +16,10 @@
   }
   const auto sender = builder.CreateString(heartbeat.sender);
   const auto rows = builder.CreateVectorOfStructs(work);
-  builder.Finish(
-      wire::CreateEntryHeartbeat(builder, sender, heartbeat.incarnation,
-                                 heartbeat.is_leaving, rows),
-      wire::EntryHeartbeatIdentifier());
+  builder.Finish(wire::CreateEntryHeartbeat(
+                     builder, sender, heartbeat.incarnation,
+                     heartbeat.is_leaving, heartbeat.store_reachable, rows),
+                 wire::EntryHeartbeatIdentifier());
   return {builder.GetBufferPointer(),
           builder.GetBufferPointer() + builder.GetSize()};
 }
@@ -36,7 +36,8 @@
   const wire::EntryHeartbeat* frame = wire::GetEntryHeartbeat(bytes);
   EntryHeartbeat heartbeat{.sender = frame->sender()->str(),
                            .incarnation = frame->incarnation(),
-                           .is_leaving = frame->is_leaving()};
+                           .is_leaving = frame->is_leaving(),
+                           .store_reachable = frame->store_reachable()};
   if (frame->work() != nullptr) {
     for (const wire::TargetWork* row : *frame->work()) {
       heartbeat.in_flight[row->id_hash()] = static_cast<int>(row->in_flight());
--- a/modules/gg_wire/entry_heartbeat_codec.h
+++ b/modules/gg_wire/entry_heartbeat_codec.h
@@ -15,6 +15,7 @@
   std::string sender;  // name of the host
   uint64_t incarnation = 0;
   bool is_leaving = false;
+  bool store_reachable = false;  // the store answers the sender
   /** Requests in flight from the sender, by the hash of the target. */
   std::map<uint64_t, int> in_flight;
 };
