--- a/modules/gg_entry/entry_platform.h
+++ b/modules/gg_entry/entry_platform.h
@@ -22,6 +22,8 @@
   std::function<asio::awaitable<absl::StatusOr<KeyValueRead>>(uint64_t after,
                                                               Duration wait)>
       watch;
+  /** Breaks off a watch that waits. */
+  std::function<void()> cancel_watch;
   std::function<asio::awaitable<absl::Status>(Member member, uint64_t lease)>
       put_member;
   std::function<asio::awaitable<absl::StatusOr<uint64_t>>(Duration lifetime)>
--- a/modules/gg_entry/store_sync.cc
+++ b/modules/gg_entry/store_sync.cc
@@ -64,6 +64,8 @@
 }
 
 void StoreSync::Report(const absl::Status& status) {
+  // A watch that began during the outage may wait on a dead connection.
+  if (status.ok() && !is_reachable_) store_.cancel_watch();
   is_reachable_ = status.ok();
   on_event_(StoreReachable{status.ok(), Message(status)});
 }
--- a/modules/gg_entry/store_sync.h
+++ b/modules/gg_entry/store_sync.h
@@ -23,7 +23,7 @@
     uint64_t seed = 1;
     /** How long the store waits for a change. Short enough for a connection
        that fell silent to be found out within the operators' bounds. */
-    Duration watch_wait = std::chrono::seconds(4);
+    Duration watch_wait = std::chrono::seconds(3);
     /** Pause after a change, so that those close after it come with the same
         call. A tenth of what operators allow for a change. */
     Duration gather = std::chrono::milliseconds(150);
