--- a/modules/gg_fleet/fleet_config.h
+++ b/modules/gg_fleet/fleet_config.h
@@ -52,7 +52,7 @@
 /** Bounds on what a caller may send and how long it may take. */
 struct TrafficLimits {
   uint32_t max_header_bytes = 16 * 1024;
-  uint64_t max_body_bytes = 64 * 1024 * 1024;
+  uint64_t max_body_bytes = uint64_t{64} * 1024 * 1024;
   Duration header_timeout = std::chrono::seconds(3);
   Duration idle_timeout = std::chrono::seconds(15);
 };
--- a/modules/gg_fleet/fleet_state.cc
+++ b/modules/gg_fleet/fleet_state.cc
@@ -10,6 +10,7 @@
 
 std::vector<std::string> Names(const std::vector<Member>& members) {
   std::vector<std::string> names;
+  names.reserve(members.size());
   for (const Member& member : members) {
     names.push_back(absl::StrCat(member.name, "/", member.incarnation));
   }
--- a/modules/gg_fleet/fleet_state.h
+++ b/modules/gg_fleet/fleet_state.h
@@ -62,7 +62,7 @@
   std::set<std::string> evacuated_;
   bool store_reachable_ = false;
   bool is_dirty_ = false;
-  uint64_t sequence_ = 0;
+
   FleetView published_;
 };
 
--- /dev/null
+++ b/tests/entry/fleet_test.cc
@@ -0,0 +1,220 @@
+#include "entry/entry_fixtures.h"
+#include "unit/test_support.h"
+
+namespace greengage {
+namespace {
+
+TEST_GROUP(TargetRegistry) {
+  TargetRegistry registry{
+      {.zone_regions = {{"north-a", "north"}, {"south-a", "south"}}}};
+  FleetConfig config{
+      .services = {{"shop", {.cold_time = std::chrono::seconds(3)}}}};
+
+  void Put(const TargetRecord& record, double at,
+           uint64_t wall_ms = 1'000'000) {
+    registry.Put(record, &config, At(at), wall_ms);
+  }
+  size_t UsableCount() const { return registry.Usable().size(); }
+};
+
+TEST(TargetRegistry, DrainingTarget_AtOnce_GetsNothing) {
+  TargetRecord target = MakeTarget("a", "north-a");
+  Put(target, 0);
+  LONGS_EQUAL(1, UsableCount());
+  target.is_draining = true;
+  Put(target, 1);
+  LONGS_EQUAL(0, UsableCount());
+}
+
+TEST(TargetRegistry, RemovedTarget_InCalm_IsGoneAtOnce) {
+  Put(MakeTarget("a", "north-a"), 0);
+  registry.Remove("a", At(1));
+  LONGS_EQUAL(0, UsableCount());
+}
+
+TEST(TargetRegistry, MissingTarget_AfterOutage_IsKeptForGraceOnly) {
+  Put(MakeTarget("a", "north-a"), 0);
+  registry.NoteOutage(At(8));
+  registry.Remove("a", At(8.3));
+  LONGS_EQUAL(1, UsableCount());
+  registry.Tick(At(9.9));
+  LONGS_EQUAL(1, UsableCount());
+  registry.Tick(At(10.01));
+  LONGS_EQUAL(0, UsableCount());
+}
+
+TEST(TargetRegistry, MissingTarget_BackWithinGrace_Stays) {
+  Put(MakeTarget("a", "north-a"), 0);
+  registry.NoteOutage(At(8));
+  registry.Remove("a", At(8.3));
+  Put(MakeTarget("a", "north-a"), 9);
+  registry.Tick(At(12));
+  LONGS_EQUAL(1, UsableCount());
+}
+
+TEST(TargetRegistry, EvacuatedZone_GetsNothing_AndComesBackCold) {
+  Put(MakeTarget("a", "north-a"), 0);
+  registry.SetEvacuated({"north-a"}, &config, At(1));
+  LONGS_EQUAL(0, UsableCount());
+  registry.SetEvacuated({}, &config, At(5));
+  LONGS_EQUAL(1, UsableCount());
+  CHECK_TRUE(registry.Usable()[0].cold_until == At(8));
+}
+
+TEST(TargetRegistry, RecentlyStartedTarget_CountsAsCold) {
+  TargetRecord target = MakeTarget("a", "north-a");
+  target.incarnation_ms = 999'000;  // a second before the wall clock
+  Put(target, 0);
+  CHECK_TRUE(registry.Usable()[0].cold_until > At(1.9));
+}
+
+TEST(TargetRegistry, OldTarget_CountsAsWarm) {
+  Put(MakeTarget("a", "north-a"), 0);
+  CHECK_TRUE(registry.Usable()[0].cold_until <= At(0));
+}
+
+TEST(TargetRegistry, SameIdNewIncarnation_CountsAsCold) {
+  Put(MakeTarget("a", "north-a"), 0);
+  TargetRecord again = MakeTarget("a", "north-a");
+  again.incarnation_ms = 999'900;
+  Put(again, 1);
+  CHECK_TRUE(registry.Usable()[0].cold_until > At(3));
+}
+
+TEST_GROUP(MemberRegistry) {
+  MemberRegistry registry{{.self = MakeMember("self")}};
+
+  void Hear(const std::string& name, double at, bool store_reachable = true,
+            bool is_leaving = false) {
+    registry.Heard({name, 7, is_leaving, store_reachable}, At(at));
+  }
+};
+
+TEST(MemberRegistry, SilentDaemon_IsNotNamedToCallers) {
+  registry.Put(MakeMember("b"), At(0));
+  Hear("b", 1);
+  LONGS_EQUAL(1, registry.Serving(At(2)).size());
+  LONGS_EQUAL(0, registry.Serving(At(2.6)).size());
+}
+
+TEST(MemberRegistry, NeverHeardDaemonInStore_IsNamed) {
+  registry.Put(MakeMember("b"), At(0));
+  LONGS_EQUAL(1, registry.Serving(At(9)).size());
+}
+
+TEST(MemberRegistry, LeavingDaemon_IsNotNamedAtOnce) {
+  registry.Put(MakeMember("b"), At(0));
+  Hear("b", 1, true, true);
+  LONGS_EQUAL(0, registry.Serving(At(1)).size());
+}
+
+TEST(MemberRegistry, HeartbeatOfEarlierIncarnation_IsIgnored) {
+  Member again = MakeMember("b");
+  again.incarnation = 8;
+  registry.Put(again, At(0));
+  Hear("b", 1, true, true);  // of incarnation 7
+  LONGS_EQUAL(1, registry.Serving(At(1)).size());
+}
+
+TEST(MemberRegistry, DepartedDaemon_CountsAsSenderForAWhile) {
+  registry.Put(MakeMember("b"), At(0));
+  LONGS_EQUAL(2, registry.SenderCount(At(1)));
+  registry.Remove("b", At(2));
+  LONGS_EQUAL(2, registry.SenderCount(At(11)));
+  LONGS_EQUAL(1, registry.SenderCount(At(12.1)));
+}
+
+TEST(MemberRegistry, CutOffAlone_IsNoOutageForEveryone) {
+  registry.Put(MakeMember("b"), At(0));
+  Hear("b", 1);
+  CHECK_FALSE(registry.StoreFailsEveryone(At(1.5)));  // b reaches the store
+  CHECK_FALSE(registry.StoreFailsEveryone(At(9)));    // nobody is heard
+  Hear("b", 9, false);
+  CHECK_TRUE(registry.StoreFailsEveryone(At(9.5)));
+}
+
+TEST_GROUP(FleetState) {
+  std::vector<FleetViewPtr> views;
+  std::vector<std::string> lines;
+  FleetState state{
+      {.targets = {.zone_regions = {{"north-a", "north"}}},
+       .members = {.self = MakeMember("self")}},
+      {.log =
+           [this](LogLevel, Event event, const std::string& text) {
+             lines.push_back(std::string(EventName(event)) + " " + text);
+           },
+       .publish = [this](FleetViewPtr view) { views.push_back(view); }}};
+
+  void Apply(const FleetEvent& event, double at) {
+    state.Apply(event, At(at), 1'000'000);
+    state.Tick(At(at));
+  }
+  FleetEvent Config(uint64_t version) {
+    auto config = std::make_shared<FleetConfig>();
+    config->version = version;
+    return ConfigRead{config};
+  }
+};
+
+TEST(FleetState, OlderConfiguration_NeverReplacesNewer) {
+  Apply(Config(7), 0);
+  Apply(Config(5), 1);
+  LONGS_EQUAL(7, views.back()->config->version);
+}
+
+TEST(FleetState, EveryChange_IsLoggedWithItsCause) {
+  Apply(TargetListed{MakeTarget("a", "north-a")}, 0);
+  Apply(TargetUnlisted{"a"}, 1);
+  LONGS_EQUAL(2, lines.size());
+  CHECK_TRUE(Contains(lines[0], "target_listed target=a"));
+  CHECK_TRUE(Contains(lines[1], "target_unlisted target=a"));
+}
+
+TEST(FleetState, Snapshot_RemovesWhatItDoesNotName) {
+  Apply(StoreReachable{true, ""}, 0);
+  Apply(TargetListed{MakeTarget("a", "north-a")}, 0);
+  Apply(TargetListed{MakeTarget("b", "north-a")}, 0);
+  Apply(EvacuationChanged{"north-a", true}, 0);
+  Apply(SnapshotComplete{.target_ids = {"b"}}, 1);
+  LONGS_EQUAL(1, views.back()->targets.size());
+  STRCMP_EQUAL("b", views.back()->targets[0].record.id.c_str());
+}
+
+TEST(FleetState, NothingChanged_PublishesNothing) {
+  Apply(TargetListed{MakeTarget("a", "north-a")}, 0);
+  const size_t before = views.size();
+  state.Tick(At(1));
+  LONGS_EQUAL(before, views.size());
+}
+
+// Replays Gantnet's scale-2: a daemon is cut off from 1 s to 13 s, a target
+// leaves at 4 s, the others reach the store all the while.
+TEST(FleetState, TargetThatLeftWhileCutOff_IsNotUsedAfterReturn) {
+  Apply(StoreReachable{true, ""}, 0);
+  Apply(MemberListed{MakeMember("b")}, 0);
+  Apply(TargetListed{MakeTarget("a", "north-a")}, 0);
+  Apply(HeartbeatHeard{"b", 7, false, true}, 1);
+  Apply(StoreReachable{false, "time-out"}, 3);
+  for (double at = 3; at < 13; at += 0.1) state.Tick(At(at));
+  Apply(StoreReachable{true, ""}, 13.6);
+  Apply(SnapshotComplete{.member_names = {"b"}}, 14);
+  LONGS_EQUAL(0, views.back()->targets.size());
+}
+
+TEST(FleetState, TargetThatLapsedInOutage_IsUsedUntilItIsBack) {
+  Apply(StoreReachable{true, ""}, 0);
+  Apply(MemberListed{MakeMember("b")}, 0);
+  Apply(TargetListed{MakeTarget("a", "north-a")}, 0);
+  Apply(StoreReachable{false, "time-out"}, 3);
+  for (double at = 3; at < 8; at += 0.1) {
+    Apply(HeartbeatHeard{"b", 7, false, false}, at);
+  }
+  Apply(StoreReachable{true, ""}, 8);
+  Apply(SnapshotComplete{.member_names = {"b"}}, 8.1);
+  LONGS_EQUAL(1, views.back()->targets.size());
+  state.Tick(At(10.1));
+  LONGS_EQUAL(0, views.back()->targets.size());
+}
+
+}  // namespace
+}  // namespace greengage
--- /dev/null
+++ b/tests/entry/platform_codec_test.cc
@@ -0,0 +1,194 @@
+#include "platform/fleet_codec.h"
+#include "platform/message_adapter.h"
+#include "platform/settings_reader.h"
+#include "unit/test_support.h"
+
+namespace greengage {
+namespace {
+
+TEST_GROUP(SettingsReader) {
+  std::string text =
+      "self.node=front-1\nself.zone=north-a\nself.region=north\n"
+      "self.ip=10.1.0.3\nself.limits.memoryMb=260\nself.limits.maxFds=4100\n"
+      "network.listen.front=10.1.0.3:80\nnetwork.listen.ready=10.1.0.3:81\n"
+      "network.listen.directory=10.1.0.3:82\nnetwork.internalPorts=7660,7675\n"
+      "network.zones.north-a=north\nnetwork.zones.south-a=south\n"
+      "platform.platform.addr=10.9.1.7:8142\nterms.bounds.graceS=6\n"
+      "terms.bounds.retryBudgetRatio=0.2\nterms.bounds.retrySlack=62\n"
+      "terms.bounds.budgetWindowS=10\nterms.bounds.coldOvershoot=1.5\n"
+      "terms.bounds.coldSlack=5\nterms.bounds.ttl_max_s=5\nnew.key=1\n";
+
+  std::string ErrorWithout(const std::string& line) {
+    std::string less = text;
+    less.erase(less.find(line), line.size());
+    return MessageOf(platform::ParseSettingsText(less).status());
+  }
+};
+
+TEST(SettingsReader, WholeFile_IsReadIntoNamedFields) {
+  const auto settings = platform::ParseSettingsText(text);
+  CHECK_TRUE(settings.ok());
+  STRCMP_EQUAL("front-1", settings->host_name.c_str());
+  LONGS_EQUAL(7660, settings->first_peer_port);
+  LONGS_EQUAL(2, settings->zone_regions.size());
+  CHECK_TRUE(settings->bounds.stop_grace == std::chrono::seconds(6));
+}
+
+TEST(SettingsReader, MissingKey_IsNamed) {
+  CHECK_TRUE(Contains(ErrorWithout("self.zone=north-a\n"), "self.zone"));
+  CHECK_TRUE(
+      Contains(ErrorWithout("terms.bounds.graceS=6\n"), "terms.bounds.graceS"));
+  CHECK_TRUE(Contains(ErrorWithout("network.internalPorts=7660,7675\n"),
+                      "network.internalPorts"));
+}
+
+TEST(SettingsReader, WordInPlaceOfNumber_IsNamed) {
+  text += "terms.bounds.graceS=soon\n";
+  CHECK_TRUE(Contains(MessageOf(platform::ParseSettingsText(text).status()),
+                      "terms.bounds.graceS"));
+}
+
+TEST_GROUP(FleetCodec) {
+  std::string config =
+      R"({"version":"0000000c","resources":[
+      {"entryKind":"routes","metadata":{"name":"r-1"},"spec":{
+        "host":"a.example","prefix":"/x/","routeKind":"idempotent",
+        "timeoutMs":1500,"latencyTargetMs":600,"priority":2,"attempts":2,
+        "split":[{"service":"s","weight":90},{"service":"t","weight":10}],
+        "sticky":true,"homeRegions":["north"]}},
+      {"entryKind":"services","metadata":{"name":"s"},"spec":{
+        "healthPath":"/healthz","maxConns":390,"coldS":3.0,"coldPerS":7.5}},
+      {"entryKind":"services","metadata":{"name":"t"},"spec":{}},
+      {"entryKind":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,
+        "maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}]})";
+  std::string target =
+      R"({"service":"s","addr":"10.0.0.9:80","zone":"north-a","version":"v1",
+      "slots":9,"state":"ready","coldLeftMs":1500,"seq":4,"born":1700000000000})";
+
+  std::string Replaced(std::string text, const std::string& from,
+                       const std::string& to) {
+    return text.replace(text.find(from), from.size(), to);
+  }
+  bool IsRefused(const std::string& key, const std::string& value) {
+    const auto event = platform::DecodeItem(key, value);
+    return event && std::holds_alternative<ValueRefused>(*event);
+  }
+};
+
+TEST(FleetCodec, Configuration_IsDecodedOnceIntoNamedFields) {
+  const auto decoded = platform::DecodeConfig(config);
+  CHECK_TRUE(decoded.ok());
+  LONGS_EQUAL(12, (*decoded)->version);
+  const RouteRule& route = (*decoded)->routes.at(0);
+  CHECK_TRUE(route.time_limit == std::chrono::milliseconds(1500));
+  CHECK_TRUE(route.is_idempotent());
+  LONGS_EQUAL(2, route.shares.size());
+  DOUBLES_EQUAL(7.5, (*decoded)->services.at("s").cold_rate, 1e-9);
+  CHECK_TRUE((*decoded)->limits.idle_timeout == std::chrono::seconds(15));
+}
+
+TEST(FleetCodec, BrokenConfiguration_IsRefusedWithItsReason) {
+  CHECK_TRUE(IsRefused("op/config", config.substr(0, 100)));
+  CHECK_TRUE(IsRefused("op/config", Replaced(config, "/x/", "x")));
+  CHECK_TRUE(IsRefused(
+      "op/config", Replaced(config, "\"t\",\"weight\"", "\"u\",\"weight\"")));
+  CHECK_TRUE(IsRefused("op/config", Replaced(config, ":10}", ":-1}")));
+}
+
+TEST(FleetCodec, UnknownKindOfRoute_IsNotRepeated) {
+  const auto decoded =
+      platform::DecodeConfig(Replaced(config, "idempotent", "miraculous"));
+  CHECK_TRUE((*decoded)->routes[0].kind == RequestKind::kNonIdempotent);
+}
+
+TEST(FleetCodec, Target_IsDecoded) {
+  const auto record = platform::DecodeTarget("i-1", target);
+  CHECK_TRUE(record.ok());
+  STRCMP_EQUAL("i-1", record->id.c_str());
+  CHECK_TRUE(record->cold_left == std::chrono::milliseconds(1500));
+  CHECK_TRUE(record->incarnation_ms == 1700000000000);
+  CHECK_FALSE(record->is_draining);
+}
+
+TEST(FleetCodec, EntryOfAnotherWriter_NamesNoTarget) {
+  CHECK_TRUE(IsRefused("servers/i-1", "\xff\x01"));
+  CHECK_TRUE(IsRefused("servers/i-1", "[]"));
+  CHECK_TRUE(IsRefused("servers/i-1", Replaced(target, "\"slots\":9,", "")));
+  CHECK_TRUE(IsRefused("servers/i-1", Replaced(target, ":9,", ":\"9\",")));
+  CHECK_TRUE(IsRefused("servers/i-1", Replaced(target, "ready", "asleep")));
+}
+
+TEST(FleetCodec, Member_SurvivesTheRoundTrip) {
+  const Member member{.name = "front-1",
+                      .traffic_address = "10.0.0.1:80",
+                      .peer_address = "10.0.0.1:7000",
+                      .zone = "north-a",
+                      .region = "north",
+                      .incarnation = 5};
+  const auto decoded =
+      platform::DecodeMember("front-1", platform::EncodeMember(member));
+  CHECK_TRUE(decoded.ok());
+  LONGS_EQUAL(5, decoded->incarnation);
+  STRCMP_EQUAL("10.0.0.1:7000", decoded->peer_address.c_str());
+}
+
+TEST(FleetCodec, DeletedKeys_AreDepartures) {
+  CHECK_TRUE(std::holds_alternative<TargetUnlisted>(
+      *platform::DecodeItem("servers/i-1", std::nullopt)));
+  CHECK_FALSE(std::get<EvacuationChanged>(
+                  *platform::DecodeItem("op/evacuate/z", std::nullopt))
+                  .is_evacuated);
+  CHECK_FALSE(platform::DecodeItem("op/config", std::nullopt).has_value());
+  CHECK_FALSE(platform::DecodeItem("other/key", "x").has_value());
+}
+
+TEST_GROUP(MessageCodec) {
+  MessageCodec codec = platform::MakeMessageCodec();
+
+  TargetFields Answer(http::status status,
+                      const std::map<std::string, std::string>& fields) {
+    http::response<http::string_body> answer(status, 11);
+    for (const auto& [name, value] : fields) answer.set(name, value);
+    return codec.decode_answer(answer.base());
+  }
+};
+
+TEST(MessageCodec, CallerFields_AreDecoded) {
+  http::request<http::string_body> request;
+  request.set("Request-Id", "9c41");
+  request.set("Cookie", "a=1; Affinity-Key=17; b=2");
+  request.set("Deadline-Ms", "4000");
+  const CallerFields caller = codec.decode_caller(request);
+  STRCMP_EQUAL("9c41", caller.request_id.c_str());
+  STRCMP_EQUAL("17", caller.object.c_str());
+  CHECK_TRUE(*caller.time_left == std::chrono::seconds(4));
+}
+
+TEST(MessageCodec, OnlyTheTargetsWord_MeansNotRun) {
+  CHECK_TRUE(Answer(http::status::service_unavailable, {{"Not-Run", "1"}})
+                 .was_not_run);
+  CHECK_TRUE(Answer(http::status::misdirected_request, {}).was_not_run);
+  CHECK_FALSE(Answer(http::status::service_unavailable, {}).was_not_run);
+}
+
+TEST(MessageCodec, LoadAndKeepAlive_AreDecoded) {
+  const TargetFields fields =
+      Answer(http::status::ok,
+             {{"Upstream-Load", "3,2,8"}, {"Keep-Alive", "timeout=10, max=5"}});
+  DOUBLES_EQUAL(5, *fields.load, 1e-9);
+  CHECK_TRUE(*fields.idle_limit == std::chrono::seconds(10));
+  CHECK_FALSE(Answer(http::status::ok, {{"Upstream-Load", "x"}}).load);
+}
+
+TEST(MessageCodec, LookUp_IsDecodedAndAnswered) {
+  const auto query =
+      codec.decode_lookup("/-/resolve?name=a.example&region=north&zone=n-a");
+  STRCMP_EQUAL("north", query->region.c_str());
+  STRCMP_EQUAL(
+      R"({"addrs":["10.0.0.1:80"],"ttlS":2.0})",
+      codec.encode_lookup({{"10.0.0.1:80"}, std::chrono::seconds(2)}).c_str());
+  CHECK_FALSE(codec.decode_lookup("/other").has_value());
+}
+
+}  // namespace
+}  // namespace greengage
--- /dev/null
+++ b/tests/entry/request_test.cc
@@ -0,0 +1,385 @@
+#include <cmath>
+
+#include "entry/entry_fixtures.h"
+#include "gg_request/gg_request.h"
+#include "unit/test_support.h"
+
+namespace greengage {
+namespace {
+
+TEST_GROUP(RouteTable){RouteTable Make(std::vector<std::string> prefixes){
+    auto config = std::make_shared<FleetConfig>();
+for (const std::string& prefix : prefixes) {
+  RouteRule route;
+  route.name = prefix;
+  route.host = "shop.example";
+  route.prefix = prefix;
+  config->routes.push_back(route);
+}
+return RouteTable(config);
+}  // namespace
+};  // namespace greengage
+
+TEST(RouteTable, LongestPrefix_Wins) {
+  const RouteTable table = Make({"/a/", "/a/b/", "/"});
+  STRCMP_EQUAL("/a/b/", table.Find("shop.example", "/a/b/c")->name.c_str());
+  STRCMP_EQUAL("/a/",
+               table.Find("shop.example:80", "/a/x?/a/b/")->name.c_str());
+  STRCMP_EQUAL("/", table.Find("SHOP.example", "/x")->name.c_str());
+}
+
+TEST(RouteTable, UnknownHostOrPath_HasNoRoute) {
+  const RouteTable table = Make({"/a/"});
+  POINTERS_EQUAL(nullptr, table.Find("other.example", "/a/"));
+  POINTERS_EQUAL(nullptr, table.Find("shop.example", "/ab"));
+}
+
+TEST_GROUP(ProportionalChoice){};
+
+TEST(ProportionalChoice, AnyPrefixOfChoices_StaysWithinOneOfItsShare) {
+  ProportionalChoice choice;
+  const std::vector<double> weights = {90, 7, 3};
+  std::vector<int> counts(3, 0);
+  for (int n = 1; n <= 1000; ++n) {
+    ++counts[choice.Next(weights)];
+    for (size_t i = 0; i < 3; ++i) {
+      CHECK_TRUE(std::abs(counts[i] - n * weights[i] / 100) <= 1.5);
+    }
+  }
+}
+
+TEST(ProportionalChoice, PartWithoutWeight_IsNeverChosen) {
+  ProportionalChoice choice;
+  for (int n = 0; n < 100; ++n) CHECK_TRUE(choice.Next({0, 1, -1}) == 1);
+}
+
+TEST_GROUP(RegionPlan){};
+
+// The sheet of Txurruka: equal demand, 18, 108 and 126 slots.
+TEST(RegionPlan, SmallRegion_KeepsWhatItCarries) {
+  const std::map<std::string, RegionLoad> regions = {
+      {"bizkaia", {1, 18}}, {"navarra", {1, 108}}, {"cantabria", {1, 126}}};
+  const RegionShares shares = PlanRegionShares("bizkaia", regions);
+  DOUBLES_EQUAL(18.0 / 84, shares.at("bizkaia"), 1e-9);
+  double sum = 0;
+  for (const auto& [region, share] : shares) sum += share;
+  DOUBLES_EQUAL(1, sum, 1e-9);
+  CHECK_TRUE(shares.at("cantabria") > shares.at("navarra"));
+}
+
+TEST(RegionPlan, LargeRegion_KeepsAllOfItsOwn) {
+  const RegionShares shares =
+      PlanRegionShares("north", {{"north", {1, 100}}, {"south", {1, 20}}});
+  LONGS_EQUAL(1, shares.size());
+  DOUBLES_EQUAL(1, shares.at("north"), 1e-9);
+}
+
+TEST(RegionPlan, NoCapacityAnywhere_HasNoShares) {
+  CHECK_TRUE(PlanRegionShares("north", {{"north", {1, 0}}}).empty());
+}
+
+TEST_GROUP(ShareLimiter) { ShareLimiter limiter{ShareLimiter::Options{}}; };
+
+// The operators' cap is 0.15 of a region's requests from one window of 2 s to
+// the next.
+TEST(ShareLimiter, PlanThatJumps_IsFollowedBelowTheCap) {
+  limiter.MoveTowards({{"north", 1}}, At(0));
+  double before = 1;
+  for (int window = 1; window <= 20; ++window) {
+    for (int step = 0; step < 20; ++step) {
+      limiter.MoveTowards({{"north", 0.4}, {"south", 0.6}},
+                          At(window * 2 + step * 0.1));
+    }
+    const double now =
+        limiter
+            .MoveTowards({{"north", 0.4}, {"south", 0.6}}, At(window * 2 + 2))
+            .at("north");
+    CHECK_TRUE(before - now <= 0.15);
+    before = now;
+  }
+}
+
+TEST(ShareLimiter, LostRegion_IsLeftAtOnce) {
+  limiter.MoveTowards({{"north", 0.5}, {"south", 0.5}}, At(0));
+  const RegionShares& shares = limiter.MoveTowards({{"south", 1}}, At(0.1));
+  LONGS_EQUAL(0, shares.count("north"));
+  DOUBLES_EQUAL(1, shares.at("south"), 1e-9);
+}
+
+TEST_GROUP(ColdPacer){
+    /** Requests that a fleet sends to one cold target within any second, when
+       each daemon tries a thousand times a second. */
+    int MostInASecond(int daemons, double rate){std::vector<ColdPacer> pacers;
+for (int i = 0; i < daemons; ++i) {
+  pacers.emplace_back(ColdPacer::Options{.self = absl::StrCat("host-", i)});
+}
+std::deque<TimePoint> sent;
+size_t most = 0;
+for (int ms = 0; ms < 4000; ++ms) {
+  const TimePoint now = At(ms / 1000.0);
+  while (!sent.empty() && now - sent.front() >= std::chrono::seconds(1)) {
+    sent.pop_front();
+  }
+  for (ColdPacer& pacer : pacers) {
+    if (pacer.TryTake("target", rate, daemons, now)) sent.push_back(now);
+  }
+  most = std::max(most, sent.size());
+}
+return static_cast<int>(most);
+}
+}
+;
+
+// The operators' bound is rate * 1.5 + 5 in one second, over all daemons.
+TEST(ColdPacer, WholeFleetAtOnce_StaysBelowTheBound) {
+  CHECK_TRUE(MostInASecond(11, 7.5) <= 16);
+  CHECK_TRUE(MostInASecond(3, 7.5) <= 16);
+  CHECK_TRUE(MostInASecond(79, 7.5) <= 16);
+}
+
+TEST(ColdPacer, LargeFleet_StillSendsSome) {
+  CHECK_TRUE(MostInASecond(79, 7.5) >= 1);
+}
+
+TEST_GROUP(RetryAllowance) {
+  RetryAllowance allowance{
+      {.ratio = 0.2, .fleet_allowance = 55, .used_part = 1}};
+};
+
+TEST(RetryAllowance, Budget_IsRatioOfRequestsPlusShareOfAllowance) {
+  for (int i = 0; i < 100; ++i) allowance.NoteRequest("shop", At(0));
+  int taken = 0;
+  while (allowance.TryTake("shop", 11, At(1))) ++taken;
+  LONGS_EQUAL(25, taken);  // 100 * 0.2 + 55 / 11
+  CHECK_FALSE(allowance.TryTake("shop", 11, At(9.9)));
+  CHECK_TRUE(allowance.TryTake("shop", 11, At(11.1)));
+}
+
+TEST_GROUP(AttemptPolicy) {
+  bool has_budget = true;
+  int asked = 0;
+
+  NextStep Decide(AttemptFault fault, AttemptState state) {
+    return DecideNextStep(fault, &state, [&] {
+      ++asked;
+      return has_budget;
+    });
+  }
+  AttemptState Order(int sends = 1) {
+    return {
+        .max_sends = 2, .sends = sends, .time_left = std::chrono::seconds(1)};
+  }
+  AttemptState Browse() {
+    AttemptState state = Order();
+    state.is_idempotent = true;
+    return state;
+  }
+};
+
+TEST(AttemptPolicy, OrderThatMayHaveRun_IsNeverSentAgainNorCalledNotRun) {
+  CHECK_TRUE(Decide(AttemptFault::kMayHaveRun, Order()) ==
+             NextStep::kAnswerFailed);
+}
+
+TEST(AttemptPolicy, OrderNotRun_IsSentToAnotherTarget) {
+  CHECK_TRUE(Decide(AttemptFault::kNotRun, Order()) == NextStep::kTryAgain);
+}
+
+TEST(AttemptPolicy, OrderNotRunAfterAttemptThatMayHave_IsAnsweredFailed) {
+  AttemptState state = Order(2);
+  state.may_have_run = true;
+  CHECK_TRUE(Decide(AttemptFault::kNotRun, state) == NextStep::kAnswerFailed);
+}
+
+TEST(AttemptPolicy, OrderNotRunWithoutBudget_IsAnsweredNotRun) {
+  has_budget = false;
+  CHECK_TRUE(Decide(AttemptFault::kNotRun, Order()) == NextStep::kAnswerNotRun);
+}
+
+TEST(AttemptPolicy, FailedConnection_CostsNoBudget) {
+  CHECK_TRUE(Decide(AttemptFault::kNotSent, Order(0)) == NextStep::kTryAgain);
+  LONGS_EQUAL(0, asked);
+}
+
+TEST(AttemptPolicy, IdempotentThatMayHaveRun_IsRepeatedWithinItsAttempts) {
+  CHECK_TRUE(Decide(AttemptFault::kMayHaveRun, Browse()) ==
+             NextStep::kTryAgain);
+  AttemptState last = Browse();
+  last.sends = 2;
+  CHECK_TRUE(Decide(AttemptFault::kMayHaveRun, last) ==
+             NextStep::kAnswerFailed);
+}
+
+TEST(AttemptPolicy, TimeOver_IsAnsweredAtOnce) {
+  CHECK_TRUE(Decide(AttemptFault::kTimedOut, Browse()) ==
+             NextStep::kAnswerTimeout);
+}
+
+TEST_GROUP(TargetBoard) {
+  TargetBoard board{TargetBoard::Options{}};
+  void setup() override { board.SetTargets(MakeView({{"north", 3}})); }
+};
+
+TEST(TargetBoard, FailuresInRow_PutTheTargetToRest) {
+  board.Begin(0);
+  CHECK_FALSE(board.End(0, AttemptEnd::kFailed, 0, At(0)));
+  board.Begin(0);
+  CHECK_TRUE(board.End(0, AttemptEnd::kFailed, 0, At(0)));
+  CHECK_TRUE(board.row(0).ejected_until > At(0.9));
+}
+
+TEST(TargetBoard, Shedding_DoesNotCountAsFailure) {
+  for (int i = 0; i < 5; ++i) {
+    board.Begin(0);
+    CHECK_FALSE(board.End(0, AttemptEnd::kShed, 0, At(0)));
+  }
+}
+
+TEST(TargetBoard, SlownessFades_SoThatTheTargetIsTriedAgain) {
+  for (int i = 0; i < 20; ++i) {
+    board.Begin(0);
+    board.End(0, AttemptEnd::kAnswered, 5, At(0));
+  }
+  CHECK_TRUE(board.Slowness(board.row(0), At(0)) > 4);
+  CHECK_TRUE(board.Slowness(board.row(0), At(9)) < 2);
+}
+
+TEST(TargetBoard, WorkOfOtherDaemonsAndReports_CountAsUtilization) {
+  board.SetPeerWork({{board.row(0).id_hash, 6}});
+  DOUBLES_EQUAL(6.0 / 9, board.Utilization(board.row(0), At(0)), 1e-9);
+  board.NoteReport(0, 18, At(1));
+  DOUBLES_EQUAL(2, board.Utilization(board.row(0), At(1.1)), 1e-9);
+  DOUBLES_EQUAL(6.0 / 9, board.Utilization(board.row(0), At(2)), 1e-9);
+}
+
+TEST(TargetBoard, RowOfDepartedTarget_IsUsedAgainAfterItsWork) {
+  board.Begin(0);
+  board.SetTargets(MakeView({{"south", 3}}));
+  LONGS_EQUAL(6, board.size());
+  board.End(0, AttemptEnd::kAnswered, 0, At(0));
+  board.SetTargets(MakeView({{"south", 3}}));
+  board.SetTargets(MakeView({{"south", 6}}));
+  LONGS_EQUAL(6, board.size());
+}
+
+TEST_GROUP(TargetPicker) {
+  TargetBoard board{TargetBoard::Options{}};
+  TargetPicker picker{
+      {.self = "host-1", .region = "north", .regions = {"north", "south"}},
+      &board};
+  FleetView view;
+
+  void Use(FleetView next) {
+    view = std::move(next);
+    board.SetTargets(view);
+    picker.SetView(std::make_shared<FleetView>(view));
+  }
+  Pick Choose(const std::string& object, std::vector<size_t> tried = {}) {
+    return picker.Choose({.route = &view.config->routes[0],
+                          .service = "shop",
+                          .object = object,
+                          .tried = std::move(tried)},
+                         At(0));
+  }
+  std::string TargetOf(const std::string& object) {
+    return board.row(*Choose(object).row).target.record.id;
+  }
+};
+
+TEST(TargetPicker, SameObject_GoesToSameTargetFromEveryDaemon) {
+  Use(MakeView({{"north", 8}}));
+  TargetBoard other_board{TargetBoard::Options{}};
+  other_board.SetTargets(view);
+  TargetPicker other{{.self = "host-2",
+                      .region = "north",
+                      .regions = {"north", "south"},
+                      .seed = 99},
+                     &other_board};
+  other.SetView(std::make_shared<FleetView>(view));
+  for (int i = 0; i < 50; ++i) {
+    const std::string object = absl::StrCat("object-", i);
+    const Pick pick = other.Choose(
+        {.route = &view.config->routes[0], .service = "shop", .object = object},
+        At(0));
+    STRCMP_EQUAL(TargetOf(object).c_str(),
+                 other_board.row(*pick.row).target.record.id.c_str());
+  }
+}
+
+TEST(TargetPicker, LostTarget_MovesItsOwnObjectsOnly) {
+  Use(MakeView({{"north", 8}}));
+  std::map<std::string, std::string> before;
+  for (int i = 0; i < 200; ++i) {
+    const std::string object = absl::StrCat("object-", i);
+    before[object] = TargetOf(object);
+  }
+  FleetView smaller = view;
+  const std::string lost = smaller.targets.front().record.id;
+  smaller.targets.erase(smaller.targets.begin());
+  Use(smaller);
+  for (const auto& [object, target] : before) {
+    if (target != lost) STRCMP_EQUAL(target.c_str(), TargetOf(object).c_str());
+  }
+}
+
+TEST(TargetPicker, ObjectOfBusyTarget_WaitsThereBeforeItSpreads) {
+  Use(MakeView({{"north", 4}}));
+  const size_t own = *Choose("tool").row;
+  board.NoteReport(own, 12, At(0));  // 1.33 of its slots
+  LONGS_EQUAL(own, *Choose("tool").row);
+  board.NoteReport(own, 15, At(0));  // 1.67 of its slots
+  CHECK_TRUE(own != *Choose("tool").row);
+}
+
+TEST(TargetPicker, AllTargetsFull_IsRefusedAtOnce) {
+  Use(MakeView({{"north", 4}}));
+  for (size_t i = 0; i < 4; ++i) board.NoteReport(i, 20, At(0));
+  const Pick pick = Choose("tool");
+  CHECK_FALSE(pick.row.has_value());
+  CHECK_TRUE(pick.reason == NoTarget::kAllFull);
+}
+
+TEST(TargetPicker, TriedTarget_IsNotChosenAgain) {
+  Use(MakeView({{"north", 2}}));
+  const size_t first = *Choose("tool").row;
+  const size_t second = *Choose("tool", {first}).row;
+  CHECK_TRUE(first != second);
+  CHECK_FALSE(Choose("tool", {first, second}).row.has_value());
+}
+
+TEST(TargetPicker, HomeRegions_AreNeverLeft) {
+  FleetView homes = MakeView({{"north", 2}, {"south", 2}});
+  auto config = std::make_shared<FleetConfig>(*homes.config);
+  config->routes[0].home_regions = {"south"};
+  homes.config = config;
+  Use(homes);
+  for (int i = 0; i < 50; ++i) {
+    const Pick pick = Choose(absl::StrCat("object-", i));
+    STRCMP_EQUAL("south", board.row(*pick.row).target.region.c_str());
+  }
+  homes.targets.resize(2);  // those of the north
+  Use(homes);
+  CHECK_FALSE(Choose("tool").row.has_value());
+}
+
+TEST(TargetPicker, ColdTarget_IsUsedOnlyWhereThereIsNoOther) {
+  FleetView cold = MakeView({{"north", 2}});
+  cold.targets[0].cold_until = At(3);
+  Use(cold);
+  for (int i = 0; i < 50; ++i) {
+    STRCMP_EQUAL("north-1", TargetOf(absl::StrCat("object-", i)).c_str());
+  }
+}
+
+TEST(TargetPicker, OnlyColdTargets_AreSentTheirShareOnly) {
+  FleetView cold = MakeView({{"north", 1}});
+  cold.targets[0].cold_until = At(3);
+  Use(cold);
+  view.sender_count = 7;  // 7.5 a second for all: one each
+  Use(view);
+  CHECK_TRUE(Choose("tool").row.has_value());
+  CHECK_FALSE(Choose("tool").row.has_value());
+}
+
+}  // namespace
+}  // namespace greengage
