Ask more than half of the daemons before taking a failing store for an outage

Change: an outage needs more than half of the known daemons. Heartbeats go in batches to the control thread, to other regions every fourth, and carry the newest revision seen, by which a silent watch is found out; watches wait 15 s.

--- a/modules/gg_entry/entry_daemon.cc
+++ b/modules/gg_entry/entry_daemon.cc
@@ -87,7 +87,10 @@
              .ip = settings.ip,
              .port = settings.first_peer_port},
             &traffic.board(),
-            [this](FleetEvent event) { control.Send(std::move(event)); }),
+            {.on_event =
+                 [this](FleetEvent event) { control.Send(std::move(event)); },
+             .on_store_revision =
+                 [this](uint64_t revision) { store.NoteRevision(revision); }}),
         front(&io, MakeListener(settings.traffic_address,
                                 [this](const HttpSessionPtr& session,
                                        SessionRequest request) {
@@ -120,7 +123,7 @@
     };
     options.hooks.publish = [this](FleetViewPtr view) {
       asio::post(io, [this, view = std::move(view)] {
-        heartbeats.SetPeers(view->peer_addresses);
+        heartbeats.SetPeers(view->near_peers, view->far_peers);
         traffic.SetView(view);
       });
     };
@@ -215,7 +218,9 @@
     ready.Sweep(now);
     directory.Sweep(now);
     traffic.Sweep(now);
+    heartbeats.SetStoreRevision(store.newest_revision());
     heartbeats.Tick(now);
+    store.Tick(now);
     if (++tick_count % kTicksPerReload == 0) Reload("file");
     if (is_stopping) ContinueStop(now);
   }
--- a/modules/gg_entry/fleet_control.cc
+++ b/modules/gg_entry/fleet_control.cc
@@ -41,7 +41,10 @@
             },
             [this](const FleetEvent& event) {
               fleet.Apply(event, Now(), WallMilliseconds());
-              fleet.Tick(Now());
+              // Heartbeats can wait for the tick; news of targets cannot.
+              const bool can_wait =
+                  std::holds_alternative<HeartbeatsHeard>(event);
+              if (!can_wait) fleet.Tick(Now());
             },
             [self](StopAtom) { self->quit(); }};
   }
--- a/modules/gg_entry/heartbeat_exchange.cc
+++ b/modules/gg_entry/heartbeat_exchange.cc
@@ -7,16 +7,28 @@
 namespace greengage {
 namespace {
 
+/** Rounds of heartbeats of which one goes to other regions as well. */
+constexpr uint64_t kFarRounds = 4;
+
 TimePoint Now() { return std::chrono::steady_clock::now(); }
 
+std::vector<asio::ip::udp::endpoint> Endpoints(
+    const std::vector<std::string>& addresses) {
+  std::vector<asio::ip::udp::endpoint> endpoints;
+  for (const std::string& address : addresses) {
+    const auto endpoint = ParseEndpoint(address);
+    if (endpoint) endpoints.emplace_back(endpoint->address(), endpoint->port());
+  }
+  return endpoints;
+}
+
 }  // namespace
 
-HeartbeatExchange::HeartbeatExchange(
-    asio::io_context* context, Options options, TargetBoard* board,
-    std::function<void(FleetEvent event)> on_event)
+HeartbeatExchange::HeartbeatExchange(asio::io_context* context, Options options,
+                                     TargetBoard* board, Hooks hooks)
     : options_(std::move(options)),
       board_(board),
-      on_event_(std::move(on_event)),
+      hooks_(std::move(hooks)),
       socket_(*context),
       timer_(*context) {}
 
@@ -36,12 +48,10 @@
   return absl::OkStatus();
 }
 
-void HeartbeatExchange::SetPeers(const std::vector<std::string>& addresses) {
-  peers_.clear();
-  for (const std::string& address : addresses) {
-    const auto endpoint = ParseEndpoint(address);
-    if (endpoint) peers_.emplace_back(endpoint->address(), endpoint->port());
-  }
+void HeartbeatExchange::SetPeers(const std::vector<std::string>& near_peers,
+                                 const std::vector<std::string>& far_peers) {
+  near_ = Endpoints(near_peers);
+  far_ = Endpoints(far_peers);
 }
 
 void HeartbeatExchange::Receive() {
@@ -66,32 +76,43 @@
   PeerWork& work = work_[heartbeat->sender];
   work.in_flight = std::move(heartbeat->in_flight);
   work.heard_at = Now();
-  on_event_(HeartbeatHeard{heartbeat->sender, heartbeat->incarnation,
-                           heartbeat->is_leaving, heartbeat->store_reachable});
+  hooks_.on_store_revision(heartbeat->store_revision);
+  heard_[heartbeat->sender] = {heartbeat->sender, heartbeat->incarnation,
+                               heartbeat->is_leaving,
+                               heartbeat->store_reachable};
 }
 
 void HeartbeatExchange::ScheduleSend() {
-  timer_.expires_after(options_.interval);
+  const bool is_small = near_.size() + far_.size() < options_.small_fleet;
+  timer_.expires_after(is_small ? options_.interval : options_.large_interval);
   timer_.async_wait([this](const ErrorCode& error) {
     if (error) return;
-    SendToAll();
+    const std::string datagram = MakeDatagram();
+    SendTo(near_, datagram);
+    if (rounds_++ % kFarRounds == 0) SendTo(far_, datagram);
     ScheduleSend();
   });
 }
 
-void HeartbeatExchange::SendToAll() {
+std::string HeartbeatExchange::MakeDatagram() const {
   EntryHeartbeat heartbeat{.sender = options_.host_name,
                            .incarnation = options_.incarnation,
                            .is_leaving = is_leaving_,
-                           .store_reachable = store_reachable_};
+                           .store_reachable = store_reachable_,
+                           .store_revision = store_revision_};
   for (size_t i = 0; i < board_->size(); ++i) {
     const BoardRow& row = board_->row(i);
     if (row.own_in_flight > 0) {
       heartbeat.in_flight[row.id_hash] += row.own_in_flight;
     }
   }
-  const std::string datagram = EncodeEntryHeartbeat(heartbeat);
-  for (const auto& peer : peers_) {
+  return EncodeEntryHeartbeat(heartbeat);
+}
+
+void HeartbeatExchange::SendTo(
+    const std::vector<asio::ip::udp::endpoint>& peers,
+    const std::string& datagram) {
+  for (const auto& peer : peers) {
     ErrorCode ignored;  // the next heartbeat follows soon
     socket_.send_to(asio::buffer(datagram), peer, 0, ignored);
   }
@@ -99,10 +120,20 @@
 
 void HeartbeatExchange::Leave() {
   is_leaving_ = true;
-  SendToAll();
+  const std::string datagram = MakeDatagram();
+  SendTo(near_, datagram);
+  SendTo(far_, datagram);
 }
 
 void HeartbeatExchange::Tick(TimePoint now) {
+  if (!heard_.empty()) {
+    HeartbeatsHeard event;
+    for (auto& [name, heartbeat] : heard_) {
+      event.heartbeats.push_back(std::move(heartbeat));
+    }
+    heard_.clear();
+    hooks_.on_event(std::move(event));
+  }
   std::map<uint64_t, int> total;
   for (auto it = work_.begin(); it != work_.end();) {
     if (now - it->second.heard_at >= options_.work_lifetime) {
--- a/modules/gg_entry/heartbeat_exchange.h
+++ b/modules/gg_entry/heartbeat_exchange.h
@@ -29,24 +29,38 @@
     /** Work changes within a service time (0.2 to 1 s); a quarter second keeps
         the traffic between regions below 0.2 % of today's. */
     Duration interval = std::chrono::milliseconds(250);
+    /** The same in a fleet of more daemons than `small_fleet`, whose datagrams
+        grow with the square of its size. */
+    Duration large_interval = std::chrono::milliseconds(500);
+    size_t small_fleet = 24;
     /** After this the work of a silent daemon counts as done. */
-    Duration work_lifetime = std::chrono::milliseconds(1500);
+    Duration work_lifetime = std::chrono::milliseconds(2500);
+  };
+
+  struct Hooks {
+    std::function<void(FleetEvent event)> on_event;
+    /** A daemon has seen this revision of the store. */
+    std::function<void(uint64_t revision)> on_store_revision;
   };
 
   HeartbeatExchange(asio::io_context* context, Options options,
-                    TargetBoard* board,
-                    std::function<void(FleetEvent event)> on_event);
+                    TargetBoard* board, Hooks hooks);
 
   //==============================================================================
   /** Binds and starts; an error names the address. */
   absl::Status Start();
 
-  /** Sets where heartbeats go. */
-  void SetPeers(const std::vector<std::string>& addresses);
+  /** Sets where heartbeats go: daemons of the own region get each one, of
+     others every fourth. */
+  void SetPeers(const std::vector<std::string>& near_peers,
+                const std::vector<std::string>& far_peers);
 
   /** Sets whether the store answers this daemon. */
   void SetStoreReachable(bool is_reachable) { store_reachable_ = is_reachable; }
 
+  /** Sets the revision of the newest change in the store that was seen. */
+  void SetStoreRevision(uint64_t revision) { store_revision_ = revision; }
+
   /** Tells the others at once that this daemon leaves. */
   void Leave();
 
@@ -62,20 +76,26 @@
   void Receive();
   void OnDatagram(size_t count);
   void ScheduleSend();
-  void SendToAll();
+  void SendTo(const std::vector<asio::ip::udp::endpoint>& peers,
+              const std::string& datagram);
+  std::string MakeDatagram() const;
 
   Options options_;
   TargetBoard* board_;  // not owned
-  std::function<void(FleetEvent event)> on_event_;
+  Hooks hooks_;
   asio::ip::udp::socket socket_;
   asio::steady_timer timer_;
-  std::vector<asio::ip::udp::endpoint> peers_;
-  std::map<std::string, PeerWork> work_;  // by host name
+  std::vector<asio::ip::udp::endpoint> near_;
+  std::vector<asio::ip::udp::endpoint> far_;
+  std::map<std::string, HeartbeatHeard> heard_;  // since the last tick
+  std::map<std::string, PeerWork> work_;         // by host name
   /** Room for 1,500 targets with work; a longer datagram is refused. */
   std::array<char, 24 * 1024> datagram_{};
   asio::ip::udp::endpoint sender_;
   bool is_leaving_ = false;
   bool store_reachable_ = false;
+  uint64_t store_revision_ = 0;
+  uint64_t rounds_ = 0;
 };
 
 }  // namespace greengage
--- a/modules/gg_entry/store_sync.cc
+++ b/modules/gg_entry/store_sync.cc
@@ -47,6 +47,27 @@
   if (lease_ != 0) asio::co_spawn(*context_, EndLease(), asio::detached);
 }
 
+void StoreSync::NoteRevision(uint64_t revision) {
+  peers_revision_ = std::max(peers_revision_, revision);
+}
+
+void StoreSync::Tick(TimePoint now) {
+  const bool is_behind =
+      peers_revision_ > cursor_ && peers_revision_ != checked_revision_;
+  if (!is_behind) {
+    behind_since_.reset();
+    return;
+  }
+  if (!behind_since_) behind_since_ = now;
+  if (now - *behind_since_ < options_.watch_lag) return;
+  behind_since_.reset();
+  checked_revision_ = peers_revision_;
+  LogEvent(LogLevel::kInfo, Event::kStoreReadAnew,
+           absl::StrCat("watch broken off: seen=", cursor_,
+                        " others=", peers_revision_));
+  store_.cancel_watch();
+}
+
 asio::awaitable<void> StoreSync::EndLease() {
   const absl::Status ended = co_await store_.end_lease(lease_);
   // It ends by itself a little later.
@@ -81,6 +102,7 @@
   const std::optional<FleetEvent> event = decode_item_(item.key, item.value);
   if (!event) return;
   if (snapshot != nullptr) NoteExisting(*event, snapshot);
+  newest_revision_ = std::max(newest_revision_, item.revision);
   uint64_t& newest = revisions_[item.key];
   if (item.revision <= newest) return;  // told before
   newest = item.revision;
--- a/modules/gg_entry/store_sync.h
+++ b/modules/gg_entry/store_sync.h
@@ -21,9 +21,13 @@
   struct Options {
     Member self;
     uint64_t seed = 1;
-    /** How long the store waits for a change. Short enough for a connection
-       that fell silent to be found out within the operators' bounds. */
-    Duration watch_wait = std::chrono::seconds(3);
+    /** How long the store waits for a change. Long, because each return costs a
+        call; a connection that fell silent is found out by a renewal that gets
+       no answer or by a change that another daemon has seen. */
+    Duration watch_wait = std::chrono::seconds(15);
+    /** How much later than another daemon this one may see a change before its
+        watch counts as silent. A fifth of the operators' bounds. */
+    Duration watch_lag = std::chrono::milliseconds(500);
     /** Pause after a change, so that those close after it come with the same
         call. A tenth of what operators allow for a change. */
     Duration gather = std::chrono::milliseconds(150);
@@ -53,6 +57,16 @@
   /** Takes this daemon's entry out of the store. */
   void Leave();
 
+  /** Notes that another daemon has seen a change of this revision. */
+  void NoteRevision(uint64_t revision);
+
+  /** Breaks off a watch that has missed a change; called every tick. */
+  void Tick(TimePoint now);
+
+  /** Revision of the newest change that was seen: of an entry, not of the
+     store, whose revision grows without changes as well. */
+  uint64_t newest_revision() const { return newest_revision_; }
+
  private:
   asio::awaitable<void> Follow();
   asio::awaitable<bool> ReadAll();
@@ -76,6 +90,10 @@
   std::map<std::string, uint64_t> revisions_;  // by key, newest delivered
   uint64_t lease_ = 0;
   bool is_reachable_ = false;
+  uint64_t newest_revision_ = 0;
+  uint64_t peers_revision_ = 0;            // newest that others have seen
+  uint64_t checked_revision_ = 0;          // for which the watch was broken off
+  std::optional<TimePoint> behind_since_;  // of others
   bool is_leaving_ = false;
 };
 
--- a/modules/gg_fleet/fleet_event.h
+++ b/modules/gg_fleet/fleet_event.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "gg_fleet/fleet_config.h"
 #include "gg_fleet/member.h"
@@ -63,7 +64,7 @@
   std::string reason;
 };
 
-/** A heartbeat of another daemon. */
+/** The newest heartbeat of another daemon. */
 struct HeartbeatHeard {
   std::string name;
   uint64_t incarnation = 0;
@@ -71,11 +72,16 @@
   bool store_reachable = false;  // for the sender
 };
 
+/** The heartbeats of one interval. */
+struct HeartbeatsHeard {
+  std::vector<HeartbeatHeard> heartbeats;
+};
+
 /** Something that changes what the daemon believes of the fleet. */
 using FleetEvent =
     std::variant<ConfigRead, TargetListed, TargetUnlisted, EvacuationChanged,
                  MemberListed, MemberUnlisted, ValueRefused, SnapshotComplete,
-                 StoreReachable, HeartbeatHeard>;
+                 StoreReachable, HeartbeatsHeard>;
 
 }  // namespace greengage
 
--- a/modules/gg_fleet/fleet_state.cc
+++ b/modules/gg_fleet/fleet_state.cc
@@ -6,19 +6,6 @@
 #include "absl/strings/str_cat.h"
 
 namespace greengage {
-namespace {
-
-std::vector<std::string> Names(const std::vector<Member>& members) {
-  std::vector<std::string> names;
-  names.reserve(members.size());
-  for (const Member& member : members) {
-    names.push_back(absl::StrCat(member.name, "/", member.incarnation));
-  }
-  return names;
-}
-
-}  // namespace
-
 FleetState::FleetState(Options options, FleetStateHooks hooks)
     : hooks_(std::move(hooks)),
       targets_(std::move(options.targets)),
@@ -35,12 +22,10 @@
   }
   if (targets_.Tick(now)) is_dirty_ = true;
   members_.Tick(now);
-  const std::vector<Member> serving = members_.Serving(now);
-  const bool is_same = !is_dirty_ &&
-                       Names(serving) == Names(published_.serving) &&
-                       members_.SenderCount(now) == published_.sender_count;
-  if (is_same) return;
+  const uint64_t members = members_.Fingerprint(now);
+  if (!is_dirty_ && members == published_members_) return;
   is_dirty_ = false;
+  published_members_ = members;
   published_ = MakeView(now);
   hooks_.publish(std::make_shared<FleetView>(published_));
 }
@@ -50,7 +35,8 @@
           .config = config_,
           .targets = targets_.Usable(),
           .serving = members_.Serving(now),
-          .peer_addresses = members_.PeerAddresses(),
+          .near_peers = members_.PeerAddresses(true),
+          .far_peers = members_.PeerAddresses(false),
           .sender_count = members_.SenderCount(now)};
 }
 
@@ -156,9 +142,11 @@
       event.reason);
 }
 
-void FleetState::On(const HeartbeatHeard& event, TimePoint now,
+void FleetState::On(const HeartbeatsHeard& event, TimePoint now,
                     uint64_t /*wall_ms*/) {
-  members_.Heard(event, now);
+  for (const HeartbeatHeard& heartbeat : event.heartbeats) {
+    members_.Heard(heartbeat, now);
+  }
 }
 
 }  // namespace greengage
--- a/modules/gg_fleet/fleet_state.h
+++ b/modules/gg_fleet/fleet_state.h
@@ -51,7 +51,7 @@
   void On(const ValueRefused& event, TimePoint now, uint64_t wall_ms);
   void On(const SnapshotComplete& event, TimePoint now, uint64_t wall_ms);
   void On(const StoreReachable& event, TimePoint now, uint64_t wall_ms);
-  void On(const HeartbeatHeard& event, TimePoint now, uint64_t wall_ms);
+  void On(const HeartbeatsHeard& event, TimePoint now, uint64_t wall_ms);
   FleetView MakeView(TimePoint now) const;
   void Log(Event event, const std::string& text) const;
 
@@ -64,6 +64,7 @@
   bool is_dirty_ = false;
 
   FleetView published_;
+  uint64_t published_members_ = 0;
 };
 
 }  // namespace greengage
--- a/modules/gg_fleet/fleet_view.h
+++ b/modules/gg_fleet/fleet_view.h
@@ -27,7 +27,9 @@
   FleetConfigPtr config;  // nullptr before the first one was read
   std::vector<UsableTarget> targets;
   std::vector<Member> serving;  // daemons to name to callers, without this one
-  std::vector<std::string> peer_addresses;  // where heartbeats go
+  // Where heartbeats go: daemons of the own region, and of others.
+  std::vector<std::string> near_peers;
+  std::vector<std::string> far_peers;
   /** Upper bound on the daemons that may be sending now; at least 1. */
   int sender_count = 1;
 };
--- a/modules/gg_fleet/member_registry.cc
+++ b/modules/gg_fleet/member_registry.cc
@@ -1,5 +1,7 @@
 #include "gg_fleet/member_registry.h"
 
+#include "gg_core/hash.h"
+
 namespace greengage {
 
 void MemberRegistry::Put(const Member& member, TimePoint now) {
@@ -32,29 +34,48 @@
 }
 
 bool MemberRegistry::StoreFailsEveryone(TimePoint now) const {
-  bool hears_any = false;
+  size_t known = 0;
+  size_t failing = 0;
   for (const auto& [name, row] : rows_) {
-    const bool is_heard =
-        row.heard_at && now - *row.heard_at < options_.suspect_after;
-    if (!is_heard) continue;
+    if (row.in_store && !row.is_leaving) ++known;
+    if (!IsHeard(row, now)) continue;
     if (row.store_reachable) return false;
-    hears_any = true;
+    ++failing;
   }
-  return hears_any || rows_.empty();
+  return known == 0 || failing * 2 > known;
+}
+
+bool MemberRegistry::IsHeard(const Row& row, TimePoint now) const {
+  const bool is_near = row.member.region == options_.self.region;
+  return row.heard_at &&
+         now - *row.heard_at <
+             (is_near ? options_.suspect_after : options_.suspect_far_after);
+}
+
+bool MemberRegistry::IsServing(const Row& row, TimePoint now) const {
+  if (row.is_leaving) return false;
+  const bool was_never_heard = row.in_store && !row.heard_at;
+  return was_never_heard || IsHeard(row, now);
 }
 
 std::vector<Member> MemberRegistry::Serving(TimePoint now) const {
   std::vector<Member> serving;
   for (const auto& [name, row] : rows_) {
-    if (row.is_leaving) continue;
-    const TimePoint last_sign = row.heard_at.value_or(row.entered_at);
-    const bool is_heard = now - last_sign < options_.suspect_after;
-    const bool was_never_heard = row.in_store && !row.heard_at;
-    if (is_heard || was_never_heard) serving.push_back(row.member);
+    if (IsServing(row, now)) serving.push_back(row.member);
   }
   return serving;
 }
 
+uint64_t MemberRegistry::Fingerprint(TimePoint now) const {
+  uint64_t fingerprint = 1;
+  for (const auto& [name, row] : rows_) {
+    const uint64_t state =
+        (IsServing(row, now) ? 2U : 0U) | (CountsAsSender(row, now) ? 1U : 0U);
+    fingerprint = Hash64(name, fingerprint + row.member.incarnation) + state;
+  }
+  return fingerprint;
+}
+
 std::set<std::string> MemberRegistry::ListedNames() const {
   std::set<std::string> names;
   for (const auto& [name, row] : rows_) {
@@ -63,10 +84,11 @@
   return names;
 }
 
-std::vector<std::string> MemberRegistry::PeerAddresses() const {
+std::vector<std::string> MemberRegistry::PeerAddresses(bool own_region) const {
   std::vector<std::string> addresses;
   for (const auto& [name, row] : rows_) {
-    addresses.push_back(row.member.peer_address);
+    const bool is_near = row.member.region == options_.self.region;
+    if (is_near == own_region) addresses.push_back(row.member.peer_address);
   }
   return addresses;
 }
--- a/modules/gg_fleet/member_registry.h
+++ b/modules/gg_fleet/member_registry.h
@@ -24,9 +24,13 @@
  public:
   struct Options {
     Member self;
-    /** Silence after which a daemon is no longer named to callers. Six
-        heartbeats of 250 ms, so that single losses do not matter. */
-    Duration suspect_after = std::chrono::milliseconds(1500);
+    /** Silence after which a daemon of the own region is no longer named to
+        callers. Three heartbeats or more, so that single losses do not matter.
+      */
+    Duration suspect_after = std::chrono::milliseconds(1600);
+    /** The same for daemons of other regions, which are sent a quarter of the
+        heartbeats. */
+    Duration suspect_far_after = std::chrono::milliseconds(4500);
     /** How long a daemon that left the store still counts as a sender: longer
         than any request lasts. */
     Duration sender_memory = std::chrono::seconds(10);
@@ -54,13 +58,16 @@
   /** Returns the names of the daemons that stand in the store. */
   std::set<std::string> ListedNames() const;
 
-  /** Returns whether the store fails all daemons that are heard, or there are
-     no others to ask. A daemon that hears nobody of others that exist is itself
-      cut off. */
+  /** Returns whether the store fails everyone: more than half of the other
+      daemons say so and none says otherwise, or there are no others. Daemons
+     that are cut off together hear each other, but not the rest. */
   bool StoreFailsEveryone(TimePoint now) const;
 
-  /** Returns where heartbeats go. */
-  std::vector<std::string> PeerAddresses() const;
+  /** Returns where heartbeats go: daemons of this one's region, and others. */
+  std::vector<std::string> PeerAddresses(bool own_region) const;
+
+  /** Returns a number that changes when Serving() or SenderCount() does. */
+  uint64_t Fingerprint(TimePoint now) const;
 
   /** Returns an upper bound on the daemons that may be sending, this one
       included. */
@@ -77,6 +84,8 @@
     TimePoint left_at{};
   };
 
+  bool IsHeard(const Row& row, TimePoint now) const;
+  bool IsServing(const Row& row, TimePoint now) const;
   bool CountsAsSender(const Row& row, TimePoint now) const;
 
   Options options_;
--- a/modules/gg_wire/entry_heartbeat_codec.cc
+++ b/modules/gg_wire/entry_heartbeat_codec.cc
@@ -16,10 +16,11 @@
   }
   const auto sender = builder.CreateString(heartbeat.sender);
   const auto rows = builder.CreateVectorOfStructs(work);
-  builder.Finish(wire::CreateEntryHeartbeat(
-                     builder, sender, heartbeat.incarnation,
-                     heartbeat.is_leaving, heartbeat.store_reachable, rows),
-                 wire::EntryHeartbeatIdentifier());
+  builder.Finish(
+      wire::CreateEntryHeartbeat(
+          builder, sender, heartbeat.incarnation, heartbeat.is_leaving,
+          heartbeat.store_reachable, heartbeat.store_revision, rows),
+      wire::EntryHeartbeatIdentifier());
   return {builder.GetBufferPointer(),
           builder.GetBufferPointer() + builder.GetSize()};
 }
@@ -37,7 +38,8 @@
   EntryHeartbeat heartbeat{.sender = frame->sender()->str(),
                            .incarnation = frame->incarnation(),
                            .is_leaving = frame->is_leaving(),
-                           .store_reachable = frame->store_reachable()};
+                           .store_reachable = frame->store_reachable(),
+                           .store_revision = frame->store_revision()};
   if (frame->work() != nullptr) {
     for (const wire::TargetWork* row : *frame->work()) {
       heartbeat.in_flight[row->id_hash()] = static_cast<int>(row->in_flight());
--- a/modules/gg_wire/entry_heartbeat_codec.h
+++ b/modules/gg_wire/entry_heartbeat_codec.h
@@ -16,6 +16,7 @@
   uint64_t incarnation = 0;
   bool is_leaving = false;
   bool store_reachable = false;  // the store answers the sender
+  uint64_t store_revision = 0;   // of the newest change that it has seen
   /** Requests in flight from the sender, by the hash of the target. */
   std::map<uint64_t, int> in_flight;
 };
--- a/tests/entry/fleet_test.cc
+++ b/tests/entry/fleet_test.cc
@@ -133,6 +133,17 @@
   CHECK_TRUE(registry.StoreFailsEveryone(At(9.5)));
 }
 
+// Replays Gantnet's scale-2: four of eleven daemons are cut off together.
+TEST(MemberRegistry, CutOffWithAFew_IsNoOutageForEveryone) {
+  for (int i = 0; i < 10; ++i) {
+    registry.Put(MakeMember(absl::StrCat("host-", i)), At(0));
+  }
+  for (int i = 0; i < 3; ++i) Hear(absl::StrCat("host-", i), 1, false);
+  CHECK_FALSE(registry.StoreFailsEveryone(At(1)));
+  for (int i = 3; i < 6; ++i) Hear(absl::StrCat("host-", i), 1, false);
+  CHECK_TRUE(registry.StoreFailsEveryone(At(1)));
+}
+
 TEST_GROUP(FleetState) {
   std::vector<FleetViewPtr> views;
   std::vector<std::string> lines;
@@ -193,7 +204,7 @@
   Apply(StoreReachable{true, ""}, 0);
   Apply(MemberListed{MakeMember("b")}, 0);
   Apply(TargetListed{MakeTarget("a", "north-a")}, 0);
-  Apply(HeartbeatHeard{"b", 7, false, true}, 1);
+  Apply(HeartbeatsHeard{{{"b", 7, false, true}}}, 1);
   Apply(StoreReachable{false, "time-out"}, 3);
   for (double at = 3; at < 13; at += 0.1) state.Tick(At(at));
   Apply(StoreReachable{true, ""}, 13.6);
@@ -207,7 +218,7 @@
   Apply(TargetListed{MakeTarget("a", "north-a")}, 0);
   Apply(StoreReachable{false, "time-out"}, 3);
   for (double at = 3; at < 8; at += 0.1) {
-    Apply(HeartbeatHeard{"b", 7, false, false}, at);
+    Apply(HeartbeatsHeard{{{"b", 7, false, false}}}, at);
   }
   Apply(StoreReachable{true, ""}, 8);
   Apply(SnapshotComplete{.member_names = {"b"}}, 8.1);
