--- /dev/null
+++ b/tests/entry/entry_path_test.cc
@@ -0,0 +1,267 @@
+#include <csignal>
+#include <fstream>
+
+#include "gg_entry/entry_daemon.h"
+#include "platform/entry_platform_adapter.h"
+#include "standins/platform_world.h"
+#include "unit/test_support.h"
+
+namespace greengage {
+namespace {
+
+constexpr char kIp[] = "127.0.7.1";
+constexpr char kFront[] = "127.0.7.1:18080";
+constexpr char kReady[] = "127.0.7.1:18081";
+constexpr char kDirectory[] = "127.0.7.1:18082";
+constexpr char kStore[] = "127.0.7.2:18142";
+constexpr char kSettingsPath[] = "/tmp/greengage_entry_path_test.conf";
+
+using standins::PlatformWorld;
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+void WriteSettings() {
+  std::ofstream file(kSettingsPath);
+  file << "self.node=front-1\nself.zone=north-a\nself.region=north\n"
+       << "self.ip=" << kIp << "\nself.limits.memoryMb=260\n"
+       << "self.limits.maxFds=4100\nnetwork.listen.front=" << kFront
+       << "\nnetwork.listen.ready=" << kReady
+       << "\nnetwork.listen.directory=" << kDirectory
+       << "\nnetwork.internalPorts=18090,18099\nnetwork.zones.north-a=north\n"
+       << "platform.platform.addr=" << kStore << "\nterms.bounds.graceS=2\n"
+       << "terms.bounds.retryBudgetRatio=0.2\nterms.bounds.retrySlack=62\n"
+       << "terms.bounds.budgetWindowS=10\nterms.bounds.coldOvershoot=1.5\n"
+       << "terms.bounds.coldSlack=5\nterms.bounds.ttl_max_s=5\n";
+}
+
+/** The real daemon on loopback between stand-ins for store and targets. */
+TEST_GROUP(EntryPath) {
+  std::unique_ptr<PlatformWorld> world;
+  std::unique_ptr<EntryDaemon> daemon;
+  std::thread thread;
+  int next_id = 1;
+
+  void setup() override {
+    WriteSettings();
+    world = std::make_unique<PlatformWorld>(kStore);
+    world->AddTarget("t-1", "127.0.7.3:18201", "north-a");
+    world->AddTarget("t-2", "127.0.7.3:18202", "north-a");
+  }
+
+  void teardown() override {
+    if (thread.joinable()) Stop();
+    world.reset();
+  }
+
+  void StartDaemon() {
+    EntryPlatform platform = platform::MakeEntryPlatform(kSettingsPath);
+    auto settings = platform.read_settings();
+    CHECK_TRUE_TEXT(settings.ok(), MessageOf(settings.status()).c_str());
+    daemon = std::make_unique<EntryDaemon>(*settings, std::move(platform));
+    thread = std::thread([this] {
+      const absl::Status status = daemon->Run();
+      if (!status.ok()) std::printf("%s\n", MessageOf(status).c_str());
+    });
+  }
+
+  /** Starts the daemon with a configuration and waits until it serves. */
+  void Serve(int time_limit_ms = 500) {
+    world->PutConfig(1, time_limit_ms);
+    StartDaemon();
+    CHECK_TRUE(WaitFor([&] {
+      return Get(kReady, "/-/readyz").result_int() == 200 &&
+             Get(kFront, "/read/").result_int() == 200;
+    }));
+  }
+
+  /** Asks the daemon to stop and waits for its end. */
+  void Stop() {
+    std::raise(SIGTERM);
+    thread.join();
+    daemon.reset();
+  }
+
+  bool WaitFor(const std::function<bool()>& condition) {
+    const TimePoint end = Now() + std::chrono::seconds(5);
+    while (Now() < end) {
+      if (condition()) return true;
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return false;
+  }
+
+  using Answer = http::response<http::string_body>;
+
+  /** Sends one request on a connection of its own; status 0: no answer. */
+  Answer Call(http::verb method, const std::string& address,
+              const std::string& path, const std::string& id,
+              const std::string& body = "") {
+    asio::io_context io;
+    asio::ip::tcp::socket socket(io);
+    Answer answer;
+    answer.result(0U);
+    ErrorCode error;
+    socket.connect(*ParseEndpoint(address), error);
+    if (error) return answer;
+    http::request<http::string_body> request(method, path, 11);
+    request.set(http::field::host, "shop.example");
+    request.set("Request-Id", id);
+    request.set("Cookie", "Affinity-Key=7");
+    request.set("Deadline-Ms", "4000");
+    request.body() = body;
+    if (method == http::verb::post) request.prepare_payload();
+    http::write(socket, request, error);
+    beast::flat_buffer buffer;
+    Answer read;
+    http::read(socket, buffer, read, error);
+    return error ? answer : read;
+  }
+  Answer Get(const std::string& address, const std::string& path) {
+    last_id = absl::StrCat("id-", next_id++);
+    return Call(http::verb::get, address, path, last_id);
+  }
+  Answer Order(const std::string& path) {
+    last_id = absl::StrCat("id-", next_id++);
+    return Call(http::verb::post, kFront, "/order/" + path, last_id, "two");
+  }
+  std::string last_id;
+};
+
+TEST(EntryPath, BeforeAnyConfiguration_IsNotReadyAndSaysNotRun) {
+  StartDaemon();
+  CHECK_TRUE(
+      WaitFor([&] { return Get(kReady, "/-/readyz").result_int() == 503; }));
+  LONGS_EQUAL(503, Get(kFront, "/read/").result_int());
+  LONGS_EQUAL(0, world->RunCount(last_id));
+}
+
+TEST(EntryPath, Request_GetsItsOwnWholeSignedAnswer) {
+  Serve();
+  const Answer answer = Get(kFront, "/read/");
+  LONGS_EQUAL(200, answer.result_int());
+  CHECK_TRUE(answer.body().starts_with("whole " + last_id + " of t-"));
+  CHECK_FALSE(answer["Upstream-Stamp"].empty());
+  LONGS_EQUAL(404, Get(kFront, "/nowhere/").result_int());
+}
+
+TEST(EntryPath, OrderWhoseAnswerIsLost_RanOnceAndIsNotCalledNotRun) {
+  Serve();
+  LONGS_EQUAL(502, Order("lose").result_int());
+  LONGS_EQUAL(1, world->RunCount(last_id));
+}
+
+TEST(EntryPath, OrderThatNobodyRan_IsRefusedWithATimeToComeBack) {
+  Serve();
+  const Answer answer = Order("shed");
+  LONGS_EQUAL(503, answer.result_int());
+  CHECK_FALSE(answer[http::field::retry_after].empty());
+  LONGS_EQUAL(0, world->RunCount(last_id));
+}
+
+TEST(EntryPath, SpoiltAnswers_NeverReachTheCallerAsSuccess) {
+  Serve();
+  for (const char* fault : {"truncate", "cross", "unsigned", "encoded"}) {
+    const Answer answer = Order(fault);
+    LONGS_EQUAL_TEXT(502, answer.result_int(), fault);
+    LONGS_EQUAL_TEXT(1, world->RunCount(last_id), fault);
+  }
+}
+
+TEST(EntryPath, BytesAfterAnAnswer_BelongToNobody) {
+  Serve();
+  for (int i = 0; i < 5; ++i) {
+    const Answer odd = Get(kFront, "/read/extra");
+    LONGS_EQUAL(200, odd.result_int());
+    CHECK_TRUE(odd.body().starts_with("whole " + last_id));
+    const Answer next = Get(kFront, "/read/");
+    CHECK_TRUE(next.body().starts_with("whole " + last_id));
+  }
+}
+
+TEST(EntryPath, AnswerWithoutLength_ArrivesWhole) {
+  Serve();
+  const Answer answer = Get(kFront, "/read/unframed");
+  LONGS_EQUAL(200, answer.result_int());
+  CHECK_TRUE(answer.body().starts_with("whole " + last_id));
+}
+
+TEST(EntryPath, ReadWhoseAnswerIsLost_IsTriedOnAnotherTargetOnly) {
+  Serve();
+  LONGS_EQUAL(502, Get(kFront, "/read/lose").result_int());
+  LONGS_EQUAL(2, world->RunCount(last_id));  // attempts of the route
+}
+
+TEST(EntryPath, TimeLimit_EndsWithTheFinalAnswerInTime) {
+  Serve(400);
+  const TimePoint began = Now();
+  LONGS_EQUAL(504, Order("slow").result_int());
+  const double taken = ToSeconds(Now() - began);
+  CHECK_TRUE(taken > 0.3 && taken < 0.9);
+}
+
+TEST(EntryPath, FailureOfTheTarget_IsPassedOnUnchanged) {
+  Serve();
+  const Answer answer = Order("fail");
+  LONGS_EQUAL(500, answer.result_int());
+  CHECK_FALSE(answer["Upstream-Stamp"].empty());
+}
+
+TEST(EntryPath, DrainingTarget_GetsNothingNew) {
+  Serve();
+  world->SetDraining("t-1");
+  world->RemoveEntry("t-1");
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  for (int i = 0; i < 20; ++i)
+    LONGS_EQUAL(200, Get(kFront, "/read/").result_int());
+  LONGS_EQUAL(0, world->LateArrivals(std::chrono::milliseconds(800)));
+}
+
+TEST(EntryPath, NewConfiguration_IsInForceSoon_AlsoAfterLostHistory) {
+  Serve();
+  LONGS_EQUAL(404, Get(kFront, "/extra1/").result_int());
+  world->Compact();
+  world->PutConfig(2, 500, 1);
+  CHECK_TRUE(
+      WaitFor([&] { return Get(kFront, "/extra1/").result_int() == 200; }));
+}
+
+// Replays Txurruka's trouble-3: a change is made just after an outage.
+TEST(EntryPath, ChangeAfterAnOutage_IsInForceWithinTheBound) {
+  Serve();
+  world->SetStoreDown(true);
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  LONGS_EQUAL(200, Get(kFront, "/read/").result_int());
+  world->SetStoreDown(false);
+  world->PutConfig(2, 500, 1);
+  const TimePoint began = Now();
+  CHECK_TRUE(
+      WaitFor([&] { return Get(kFront, "/extra1/").result_int() == 200; }));
+  CHECK_TRUE(Now() - began < std::chrono::milliseconds(2500));
+}
+
+TEST(EntryPath, Stop_CutsNothingAndLeavesTheStore) {
+  Serve(2500);
+  Answer answer;
+  std::thread caller([&] { answer = Get(kFront, "/read/"); });
+  world->SetFaults({.work_ms = 1200});
+  caller.join();
+  std::thread slow(
+      [&] { answer = Call(http::verb::get, kFront, "/read/", "during-stop"); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  Stop();
+  slow.join();
+  LONGS_EQUAL(200, answer.result_int());
+  CHECK_FALSE(world->Get("gg/members/front-1").has_value());
+}
+
+TEST(EntryPath, LookUp_NamesThisHostUntilItStops) {
+  Serve();
+  const Answer answer =
+      Get(kDirectory, "/-/resolve?name=shop.example&region=north&zone=north-a");
+  LONGS_EQUAL(200, answer.result_int());
+  CHECK_TRUE(Contains(answer.body(), kFront));
+  CHECK_TRUE(Contains(Get(kReady, "/metrics").body(), "greengage_attempts"));
+}
+
+}  // namespace
+}  // namespace greengage
--- /dev/null
+++ b/tests/standins/platform_world.h
@@ -0,0 +1,133 @@
+#ifndef TESTS_STANDINS_PLATFORM_WORLD_H_
+#define TESTS_STANDINS_PLATFORM_WORLD_H_
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "gg_core/random.h"
+#include "standins/http_server.h"
+
+namespace greengage::standins {
+
+/** What targets do wrong, each with a probability. */
+struct TargetFaults {
+  double lose_answer = 0;  // run it, then close without an answer
+  double shed = 0;         // say that it was not run
+  double fail = 0;         // run it and answer 500
+  double truncate = 0;     // run it and end the answer early
+  double cross = 0;        // answer with another request's identity
+  int work_ms = 2;
+};
+
+/** Stand-ins for the platform in one process: its key-value store and targets
+   of one service "shop", with a thread of their own. The methods may be called
+   from any thread.
+
+    The path of a request may ask for behaviour by its last part: lose, shed,
+   fail, truncate, cross, unsigned, encoded, extra, unframed, slow (works 3 s).
+ */
+class PlatformWorld {
+ public:
+  /** @param store_address  where the store listens, "ip:port". */
+  explicit PlatformWorld(std::string store_address, uint64_t seed = 1);
+  ~PlatformWorld();
+  PlatformWorld(const PlatformWorld&) = delete;
+  PlatformWorld& operator=(const PlatformWorld&) = delete;
+
+  //==============================================================================
+  /** Starts a target; `shown_address` is what its entry names, for a proxy. */
+  void AddTarget(const std::string& id, const std::string& address,
+                 const std::string& zone,
+                 const std::string& shown_address = "");
+  void SetDraining(const std::string& id);
+  void RemoveEntry(const std::string& id);
+  void SetFaults(const TargetFaults& faults);
+
+  /** Writes a configuration with routes "/read/" (idempotent), "/order/" and
+      "/extraN/" for each N up to `extra_routes`. */
+  void PutConfig(uint64_t version, int time_limit_ms, int extra_routes = 0);
+
+  //==============================================================================
+  void Put(const std::string& key, const std::string& value);
+  void Erase(const std::string& key);
+  std::optional<std::string> Get(const std::string& key) const;
+
+  /** Makes the store answer 503 to everything, and leases lapse meanwhile. */
+  void SetStoreDown(bool is_down);
+
+  /** Forgets what was changed up to now, for watches. */
+  void Compact();
+
+  //==============================================================================
+  /** How often the request ran, over all targets. */
+  int RunCount(const std::string& request_id) const;
+
+  /** Requests that reached the target after its entry left, `grace` later. */
+  int LateArrivals(Duration grace) const;
+
+  /** Calls that the store has answered or refused. */
+  int64_t StoreCalls() const { return store_calls_; }
+
+ private:
+  struct Item {
+    std::string value;
+    uint64_t revision = 0;
+    uint64_t lease = 0;
+  };
+  struct Change {
+    std::string key;
+    std::optional<Item> item;
+    uint64_t revision = 0;
+  };
+  struct Target {
+    std::string id;
+    std::string address;
+    std::string entry;  // JSON, without its state
+  };
+
+  asio::awaitable<bool> HandleStore(Peer* peer, RequestParser* request);
+  asio::awaitable<bool> Watch(Peer* peer, const RequestParser& request,
+                              uint64_t after, int wait_ms);
+  asio::awaitable<bool> HandleTarget(std::string id, Peer* peer,
+                                     RequestParser* request);
+  asio::awaitable<bool> AnswerAsTarget(std::string id, std::string behaviour,
+                                       Peer* peer, RequestParser* request);
+  std::string RangeJson(const std::string& after) const;
+  std::optional<std::string> EventsJson(uint64_t after) const;
+  void Transact(const std::string& body);
+  void Store(const std::string& key, std::optional<Item> item);
+  void ExpireLeases();
+  std::string Draw(const std::string& behaviour);
+  void PutEntry(const std::string& id, const std::string& state);
+
+  asio::io_context io_{1};
+  asio::steady_timer keeper_{io_};
+  mutable std::mutex mutex_;
+  Random random_;
+  std::map<std::string, Item> items_;
+  std::vector<Change> history_;
+  uint64_t compacted_ = 0;
+  uint64_t revision_ = 10;
+  std::map<uint64_t, TimePoint> leases_;  // when each ends
+  std::map<uint64_t, Duration> lease_times_;
+  uint64_t next_lease_ = 100;
+  std::map<std::string, Target> targets_;
+  std::map<std::string, TimePoint> left_at_;
+  std::vector<Duration> arrivals_after_leaving_;
+  TargetFaults faults_;
+  std::map<std::string, int> runs_;
+  std::atomic<int64_t> store_calls_ = 0;
+  std::atomic<bool> is_store_down_ = false;
+  std::thread thread_;
+};
+
+}  // namespace greengage::standins
+
+#endif  // TESTS_STANDINS_PLATFORM_WORLD_H_
