--- a/modules/gg_entry/store_sync.cc
+++ b/modules/gg_entry/store_sync.cc
@@ -52,8 +52,10 @@
 }
 
 void StoreSync::Tick(TimePoint now) {
-  const bool is_behind =
-      peers_revision_ > cursor_ && peers_revision_ != checked_revision_;
+  // While the store does not answer there is nothing to be behind of.
+  const bool is_behind = is_reachable_ && peers_revision_ > cursor_ &&
+                         peers_revision_ != checked_revision_ &&
+                         now - watch_began_ >= options_.watch_lag;
   if (!is_behind) {
     behind_since_.reset();
     return;
@@ -148,8 +150,10 @@
 asio::awaitable<void> StoreSync::WatchOn() {
   int failures = 0;
   for (;;) {
+    watch_began_ = std::chrono::steady_clock::now();
     const auto changes = co_await store_.watch(cursor_, options_.watch_wait);
     if (changes.status().code() == absl::StatusCode::kOutOfRange) co_return;
+    if (absl::IsCancelled(changes.status())) continue;  // by this daemon
     Report(changes.status());
     if (!changes.ok()) {
       co_await WaitForStore(failures++);
--- a/modules/gg_entry/store_sync.h
+++ b/modules/gg_entry/store_sync.h
@@ -94,6 +94,7 @@
   uint64_t peers_revision_ = 0;            // newest that others have seen
   uint64_t checked_revision_ = 0;          // for which the watch was broken off
   std::optional<TimePoint> behind_since_;  // of others
+  TimePoint watch_began_{};
   bool is_leaving_ = false;
 };
 
