Read changes that come within 400 ms with one call

Change: 400 ms between a change and the next watch; the time after which a missed change breaks off the watch counts from the later of both.

--- a/modules/gg_entry/store_sync.cc
+++ b/modules/gg_entry/store_sync.cc
@@ -54,14 +54,14 @@
 void StoreSync::Tick(TimePoint now) {
   // While the store does not answer there is nothing to be behind of.
   const bool is_behind = is_reachable_ && peers_revision_ > cursor_ &&
-                         peers_revision_ != checked_revision_ &&
-                         now - watch_began_ >= options_.watch_lag;
+                         peers_revision_ != checked_revision_;
   if (!is_behind) {
     behind_since_.reset();
     return;
   }
   if (!behind_since_) behind_since_ = now;
-  if (now - *behind_since_ < options_.watch_lag) return;
+  const TimePoint since = std::max(*behind_since_, watch_began_);
+  if (now - since < options_.watch_lag) return;
   behind_since_.reset();
   checked_revision_ = peers_revision_;
   LogEvent(LogLevel::kInfo, Event::kStoreReadAnew,
--- a/modules/gg_entry/store_sync.h
+++ b/modules/gg_entry/store_sync.h
@@ -26,11 +26,13 @@
        no answer or by a change that another daemon has seen. */
     Duration watch_wait = std::chrono::seconds(15);
     /** How much later than another daemon this one may see a change before its
-        watch counts as silent. A fifth of the operators' bounds. */
-    Duration watch_lag = std::chrono::milliseconds(500);
+        watch counts as silent. Above `gather`, a third of the operators'
+       bounds.
+      */
+    Duration watch_lag = std::chrono::milliseconds(900);
     /** Pause after a change, so that those close after it come with the same
-        call. A tenth of what operators allow for a change. */
-    Duration gather = std::chrono::milliseconds(150);
+        call. A sixth of what operators allow for a change (2.5 s). */
+    Duration gather = std::chrono::milliseconds(400);
     Duration lease_time = std::chrono::seconds(4);
     /** A third of the lease time, so that two renewals may fail. */
     Duration renew_interval = std::chrono::milliseconds(1300);
