--- a/modules/gg_entry/message_codec.h
+++ b/modules/gg_entry/message_codec.h
@@ -23,6 +23,7 @@
   std::string request_id;      // that of the request it answers
   bool is_signed = false;      // bears the target's signature
   bool was_not_run = false;    // the target vouches that it did not run it
+  bool is_elsewhere = false;   // another target has the address now
   bool is_encoded = false;     // not the plain bytes that were asked for
   std::optional<double> load;  // requests running and waiting there
   std::optional<Duration> idle_limit;  // how long it keeps the connection
--- a/modules/gg_entry/request_run.cc
+++ b/modules/gg_entry/request_run.cc
@@ -177,12 +177,12 @@
 }
 
 bool RequestRun::TakeAnswer(AttemptOutcome* outcome, TimePoint now,
-                            std::string* fault, bool* was_not_run) {
+                            std::string* fault, TargetFields* out) {
   const TargetAnswer& answer = *outcome->answer;
   const TargetFields fields =
       traffic_->options().messages.decode_answer(answer);
   if (fields.load) traffic_->board().NoteReport(row_, *fields.load, now);
-  *was_not_run = fields.was_not_run;
+  *out = fields;
   if (fields.was_not_run) {
     *fault = absl::StrCat("not run: status ", answer.result_int());
   } else if (fields.request_id != caller_.request_id) {
@@ -218,11 +218,15 @@
     return;
   }
   std::string fault;
-  bool was_not_run = false;
-  if (!TakeAnswer(&outcome, now, &fault, &was_not_run)) {
-    EndAttempt(was_not_run ? AttemptEnd::kShed : AttemptEnd::kFailed, 0, now);
-    OnFault(was_not_run ? AttemptFault::kNotRun : AttemptFault::kMayHaveRun,
-            fault, now);
+  TargetFields fields;
+  if (!TakeAnswer(&outcome, now, &fault, &fields)) {
+    AttemptEnd end = AttemptEnd::kFailed;
+    if (fields.was_not_run) end = AttemptEnd::kShed;
+    if (fields.is_elsewhere) end = AttemptEnd::kElsewhere;
+    EndAttempt(end, 0, now);
+    OnFault(
+        fields.was_not_run ? AttemptFault::kNotRun : AttemptFault::kMayHaveRun,
+        fault, now);
     return;
   }
   const bool is_failure = IsTargetFailure(outcome.answer->result());
--- a/modules/gg_entry/request_run.h
+++ b/modules/gg_entry/request_run.h
@@ -28,7 +28,7 @@
   void BeginAttempt(const Pick& pick, TimePoint now);
   void OnOutcome(AttemptOutcome outcome);
   bool TakeAnswer(AttemptOutcome* outcome, TimePoint now, std::string* fault,
-                  bool* was_not_run);
+                  TargetFields* fields);
   void OnFault(AttemptFault fault, const std::string& reason, TimePoint now);
   void OnDue();
   void OnCallerGone();
--- a/modules/gg_request/target_board.cc
+++ b/modules/gg_request/target_board.cc
@@ -27,6 +27,9 @@
     const auto [found, is_new] = by_id_.try_emplace(key, 0);
     if (is_new) found->second = NewRow(key);
     BoardRow& row = rows_[found->second];
+    if (row.target.record.address != target.record.address) {
+      row.elsewhere_until = {};
+    }
     row.target = target;
     row.id_hash = Hash64(target.record.id);
     row.is_listed = true;
@@ -94,6 +97,13 @@
     case AttemptEnd::kShed:
     case AttemptEnd::kCancelled:
       return false;
+    case AttemptEnd::kElsewhere: {
+      // Its entry lapses within seconds; until then nothing reaches it.
+      const bool is_news = row.elsewhere_until <= now;
+      row.elsewhere_until = now + options_.elsewhere_time;
+      row.ejected_until = row.elsewhere_until;
+      return is_news;
+    }
     case AttemptEnd::kFailed:
       row.failure_weight += options_.failure_weight;
       break;
--- a/modules/gg_request/target_board.h
+++ b/modules/gg_request/target_board.h
@@ -15,14 +15,16 @@
 enum class AttemptEnd {
   kAnswered,     // an answer of the target's own
   kShed,         // the target said that it did not run the request
+  kElsewhere,    // another target has the address; nothing was run
   kFailed,       // no whole answer, or a failure of the target's own
   kUnreachable,  // no connection
   kTimedOut,     // no answer within the time
   kCancelled,    // ended from our side; says nothing about the target
 };
 
-inline constexpr EnumNames<AttemptEnd, 6> kAttemptEndNames{
-    {"answered", "shed", "failed", "unreachable", "timed_out", "cancelled"}};
+inline constexpr EnumNames<AttemptEnd, 7> kAttemptEndNames{
+    {"answered", "shed", "elsewhere", "failed", "unreachable", "timed_out",
+     "cancelled"}};
 
 /** Slowness from which a target counts as slow and is used less. Answer times
     scatter by half around their mean. */
@@ -54,6 +56,7 @@
   std::map<uint64_t, TimePoint> objects;
   int failure_weight = 0;  // of the failures in a row
   TimePoint ejected_until{};
+  TimePoint elsewhere_until{};  // its address has passed to another target
 };
 
 /** Table of the targets with the work in flight at each: this daemon's own,
@@ -72,6 +75,9 @@
     int daemons_to_believe = 2;
     Duration first_rest = std::chrono::seconds(1);
     Duration longest_rest = std::chrono::seconds(8);
+    /** How long an address that answered for another target is left: twice the
+        time in which an entry lapses (three heartbeats of 1.5 s). */
+    Duration elsewhere_time = std::chrono::seconds(9);
     /** How long a target's own statement is believed. A few service times. */
     Duration report_lifetime = std::chrono::milliseconds(400);
     /** Time in which what is known of a slow target halves. */
--- a/modules/gg_request/target_picker.cc
+++ b/modules/gg_request/target_picker.cc
@@ -42,7 +42,7 @@
 bool TargetPicker::IsUsable(size_t index, const PickRequest& request,
                             TimePoint now) {
   const BoardRow& row = board_->row(index);
-  if (!row.is_listed) return false;
+  if (!row.is_listed || row.elsewhere_until > now) return false;
   const auto& tried = request.tried;
   if (std::find(tried.begin(), tried.end(), index) != tried.end()) return false;
   const auto& homes = request.route->home_regions;
--- a/tests/entry/platform_codec_test.cc
+++ b/tests/entry/platform_codec_test.cc
@@ -168,6 +168,7 @@
   CHECK_TRUE(Answer(http::status::service_unavailable, {{"Not-Run", "1"}})
                  .was_not_run);
   CHECK_TRUE(Answer(http::status::misdirected_request, {}).was_not_run);
+  CHECK_TRUE(Answer(http::status::misdirected_request, {}).is_elsewhere);
   CHECK_FALSE(Answer(http::status::service_unavailable, {}).was_not_run);
 }
 
--- a/tests/entry/request_test.cc
+++ b/tests/entry/request_test.cc
@@ -247,6 +247,23 @@
   }
 }
 
+// Replays incident inc-151e: crashed targets stood in the store for 4.5 s more
+// while their addresses had passed to others, and 187 requests were refused.
+TEST(TargetBoard, AddressThatPassedOn_IsLeftAtOnce) {
+  TargetPicker picker{{.self = "host", .region = "north", .regions = {"north"}},
+                      &board};
+  FleetView view = MakeView({{"north", 3}});
+  picker.SetView(std::make_shared<FleetView>(view));
+  const PickRequest request{
+      .route = &view.config->routes[0], .service = "shop", .object = "tool"};
+  const size_t own = *picker.Choose(request, At(0)).row;
+  board.Begin(own);
+  CHECK_TRUE(board.End(own, AttemptEnd::kElsewhere, 0, At(0)));
+  CHECK_TRUE(own != *picker.Choose(request, At(0)).row);
+  CHECK_TRUE(own != *picker.Choose(request, At(8)).row);
+  CHECK_TRUE(own == *picker.Choose(request, At(10)).row);
+}
+
 TEST(TargetBoard, SlownessFades_SoThatTheTargetIsTriedAgain) {
   for (int i = 0; i < 20; ++i) {
     board.Begin(0);
