--- a/tests/scenario_runner/process.cc
+++ b/tests/scenario_runner/process.cc
@@ -20,6 +20,8 @@
       dup2(fileno(stdout), fileno(stderr)) < 0) {
     _exit(127);
   }
+  // The runner's own connections must end when it closes them.
+  close_range(3, ~0U, 0);
   execv(arguments[0], arguments.data());
   _exit(127);
 }
