--- a/modules/gg_core/gg_core.h
+++ b/modules/gg_core/gg_core.h
@@ -16,6 +16,7 @@
 #include "gg_core/hash.h"
 #include "gg_core/host_id.h"
 #include "gg_core/random.h"
+#include "gg_core/system_inputs.h"
 #include "gg_core/time.h"
 
 #endif  // GG_CORE_GG_CORE_H_
--- a/modules/gg_daemon/daemon.cc
+++ b/modules/gg_daemon/daemon.cc
@@ -2,12 +2,12 @@
 
 #include <atomic>
 #include <boost/asio/signal_set.hpp>
-#include <random>
 #include <set>
 #include <thread>
 
 #include "absl/strings/str_cat.h"
 #include "gg_core/hash.h"
+#include "gg_core/system_inputs.h"
 #include "gg_daemon/control_actor.h"
 #include "gg_daemon/peer_mesh.h"
 #include "gg_http/admin_handler.h"
@@ -33,16 +33,6 @@
 
 TimePoint Now() { return std::chrono::steady_clock::now(); }
 
-uint64_t WallMicroseconds() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
-}
-
-uint64_t RandomSeed() {
-  std::random_device device;
-  return (static_cast<uint64_t>(device()) << 32U) | device();
-}
-
 /** Keys of the store that daemons share, under one prefix. */
 std::string SharedPrefix(const std::string& deployment) {
   return absl::StrCat("/greengage/", deployment, "/shared/");
--- a/modules/gg_entry/entry_daemon.cc
+++ b/modules/gg_entry/entry_daemon.cc
@@ -2,9 +2,9 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
-#include <random>
 
 #include "absl/strings/str_cat.h"
+#include "gg_core/system_inputs.h"
 #include "gg_entry/entry_traffic.h"
 #include "gg_entry/fleet_control.h"
 #include "gg_entry/heartbeat_exchange.h"
@@ -39,16 +39,6 @@
 
 TimePoint Now() { return std::chrono::steady_clock::now(); }
 
-uint64_t WallMicroseconds() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
-}
-
-uint64_t RandomSeed() {
-  std::random_device device;
-  return (static_cast<uint64_t>(device()) << 32U) | device();
-}
-
 Member MakeSelf(const EntrySettings& settings) {
   return {
       .name = settings.host_name,
--- a/modules/gg_entry/fleet_control.cc
+++ b/modules/gg_entry/fleet_control.cc
@@ -2,6 +2,8 @@
 
 #include <caf/all.hpp>
 
+#include "gg_core/system_inputs.h"
+
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(greengage::FleetEvent)
 
 namespace greengage {
@@ -12,10 +14,7 @@
 
 TimePoint Now() { return std::chrono::steady_clock::now(); }
 
-uint64_t WallMilliseconds() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
+uint64_t WallMilliseconds() { return WallMicroseconds() / 1000; }
 
 caf::actor_system_config& SingleThreadConfig(caf::actor_system_config* config) {
   config->set("scheduler.max-threads", 1);
--- a/modules/gg_request/target_picker.cc
+++ b/modules/gg_request/target_picker.cc
@@ -66,7 +66,6 @@
     const std::string& region = row.target.region;
     if (!homes.empty() && !Contains(homes, region)) continue;
     if (row.ejected_until > now) continue;
-
     plan.regions[region].capacity += row.target.record.slots;
   }
   const RegionShares planned = PlanRegionShares(options_.region, plan.regions);
@@ -88,7 +87,7 @@
     if (board_->row(index).target.region != region) continue;
     if (IsUsable(index, request, now)) candidates.push_back(index);
   }
-  candidates = WithoutResting(std::move(candidates), now);
+  candidates = WithoutResting(candidates, now);
   // A cold target works so slowly that its answers are late: only where there
   // is no other.
   std::vector<size_t> warm;
@@ -104,8 +103,8 @@
   return candidates;
 }
 
-std::vector<size_t> TargetPicker::WithoutResting(std::vector<size_t> candidates,
-                                                 TimePoint now) const {
+std::vector<size_t> TargetPicker::WithoutResting(
+    const std::vector<size_t>& candidates, TimePoint now) const {
   const auto least = static_cast<size_t>(std::ceil(
       static_cast<double>(candidates.size()) * options_.least_working_part));
   std::vector<size_t> working;
--- a/modules/gg_request/target_picker.h
+++ b/modules/gg_request/target_picker.h
@@ -87,7 +87,7 @@
   std::string ChooseRegion(const PickRequest& request, TimePoint now);
   std::vector<size_t> Candidates(const PickRequest& request,
                                  const std::string& region, TimePoint now);
-  std::vector<size_t> WithoutResting(std::vector<size_t> candidates,
+  std::vector<size_t> WithoutResting(const std::vector<size_t>& candidates,
                                      TimePoint now) const;
   bool IsUsable(size_t row, const PickRequest& request, TimePoint now);
   double ColdRate(const BoardRow& row) const;
