Judge slowness on known objects, and end an order whose caller left in time

(2) An order that runs on after its caller left had no time limit: a silent target would have held its place for ever. (3) A target whose address can't be read kept a place on the board. (4) A reload of the bounds forgot the retries already taken and left the cold targets' share as it was. (5) A settings file that can't be read was passed over by the poll without a line. (6) One header name of the platform stood outside platform/.

--- a/modules/gg_entry/entry_daemon.cc
+++ b/modules/gg_entry/entry_daemon.cc
@@ -236,9 +236,14 @@
     auto read = platform.read_settings();
     const bool is_signal = std::string_view(cause) == "SIGHUP";
     if (!read.ok()) {
-      if (is_signal) LogError(Event::kSettingsRefused, read.status());
+      // The poll tells of a broken file once.
+      if (is_signal || !is_file_refused) {
+        LogError(Event::kSettingsRefused, read.status());
+      }
+      is_file_refused = true;
       return;
     }
+    is_file_refused = false;
     if (!is_signal && read->bounds == settings.bounds) return;
     settings.bounds = read->bounds;
     traffic.SetBounds(settings.bounds);
@@ -288,6 +293,7 @@
   asio::steady_timer ticker;
   asio::signal_set signals;
   int tick_count = 0;
+  bool is_file_refused = false;
   bool is_stopping = false;
   bool is_closed = false;
   TimePoint stop_began{};
--- a/modules/gg_entry/entry_traffic.cc
+++ b/modules/gg_entry/entry_traffic.cc
@@ -40,10 +40,10 @@
 }
 
 void EntryTraffic::SetBounds(const EntryBounds& bounds) {
-  retries_ = std::make_unique<RetryAllowance>(
-      RetryAllowance::Options{.ratio = bounds.retry_ratio * kUsedRetryRatio,
-                              .fleet_allowance = bounds.retry_allowance,
-                              .window = bounds.retry_window});
+  retries_.SetOptions({.ratio = bounds.retry_ratio * kUsedRetryRatio,
+                       .fleet_allowance = bounds.retry_allowance,
+                       .window = bounds.retry_window});
+  picker_->SetColdSlack(bounds.cold_allowance);
 }
 
 void EntryTraffic::SetView(FleetViewPtr view) {
--- a/modules/gg_entry/entry_traffic.h
+++ b/modules/gg_entry/entry_traffic.h
@@ -59,7 +59,7 @@
   TargetBoard& board() { return board_; }
   TargetPicker& picker() { return *picker_; }
   TargetLinkPool& links() { return links_; }
-  RetryAllowance& retries() { return *retries_; }
+  RetryAllowance& retries() { return retries_; }
 
   /** Returns the service that the next request of `route` goes to. */
   std::string ChooseService(const RouteRule& route);
@@ -73,7 +73,7 @@
   std::shared_ptr<const RouteTable> routes_;
   TargetBoard board_{TargetBoard::Options{}};
   std::unique_ptr<TargetPicker> picker_;
-  std::unique_ptr<RetryAllowance> retries_;
+  RetryAllowance retries_{RetryAllowance::Options{}};
   TargetLinkPool links_;
   std::map<std::string, ProportionalChoice> splits_;  // by route
   std::map<std::string, double> usual_seconds_;       // by route
--- a/modules/gg_entry/message_codec.h
+++ b/modules/gg_entry/message_codec.h
@@ -49,6 +49,9 @@
   std::function<void(Duration time_left, const std::string& target_id,
                      http::fields* fields)>
       prepare_target_request;
+  /** Sets what an answer of the system's own bears. */
+  std::function<void(const std::string& request_id, http::fields* fields)>
+      prepare_own_answer;
   std::function<TargetFields(const ResponseHeader& header)> decode_answer;
   /** Nothing when the path is no look-up. */
   std::function<std::optional<LookupQuery>(std::string_view path)>
--- a/modules/gg_entry/request_run.cc
+++ b/modules/gg_entry/request_run.cc
@@ -133,6 +133,8 @@
   const auto endpoint = ParseEndpoint(target.address);
   traffic_->board().Begin(row_);
   if (!endpoint) {
+    ++state_.connect_failures;
+    EndAttempt(AttemptEnd::kUnreachable, 0, now);
     OnFault(AttemptFault::kNotSent, "the target's address can't be read", now);
     return;
   }
@@ -231,11 +233,11 @@
   }
   const bool is_failure = IsTargetFailure(outcome.answer->result());
   EndAttempt(is_failure ? AttemptEnd::kFailed : AttemptEnd::kAnswered,
-             is_failure
-                 ? 0
-                 : traffic_->RelativeTime(route_->name, now - attempt_began_),
-             now);
-  if (is_over_) return;  // the caller left; the answer only ended the work
+             is_failure ? 0 : RelativeTime(now), now);
+  if (is_over_) {  // the caller left; the answer only ended the work
+    due_timer_.cancel();
+    return;
+  }
   if (is_failure && state_.is_idempotent) {
     AttemptState tried = state_;
     tried.time_left = Left(now);
@@ -270,7 +272,10 @@
 
 void RequestRun::OnFault(AttemptFault fault, const std::string& reason,
                          TimePoint now) {
-  if (is_over_) return;
+  if (is_over_) {
+    due_timer_.cancel();
+    return;
+  }
   state_.time_left = Left(now);
   const NextStep next = DecideNextStep(fault, &state_, [&] {
     return traffic_->retries().TryTake(service_, traffic_->view()->sender_count,
@@ -300,7 +305,6 @@
 }
 
 void RequestRun::OnDue() {
-  if (is_over_) return;
   const TimePoint now = Now();
   const bool was_sent = attempt_ != nullptr && attempt_->is_sent();
   if (attempt_ != nullptr) {
@@ -309,6 +313,7 @@
     EndAttempt(was_sent ? AttemptEnd::kTimedOut : AttemptEnd::kUnreachable, 0,
                now);
   }
+  if (is_over_) return;  // the caller left; an order ran on without it
   if (was_sent || state_.may_have_run) {
     Refuse(http::status::gateway_timeout, Event::kRequestFailed, "time_limit",
            now);
@@ -322,17 +327,17 @@
   if (is_over_) return;
   const TimePoint now = Now();
   is_over_ = true;
-  is_caller_gone_ = true;
-  // Work that can't be repeated is not broken off in the middle.
+  // Work that can't be repeated is not broken off before its time limit.
   const bool runs_on =
       attempt_ != nullptr && attempt_->is_sent() && !state_.is_idempotent;
   Log(LogLevel::kInfo, Event::kCallerGone,
       absl::StrCat("sent=", attempt_ != nullptr && attempt_->is_sent() ? 1 : 0,
                    " runs_on=", runs_on ? 1 : 0),
       now);
-  due_timer_.cancel();
   session_ = nullptr;
-  if (attempt_ == nullptr || runs_on) return;
+  if (runs_on) return;
+  due_timer_.cancel();
+  if (attempt_ == nullptr) return;
   attempt_->Cancel();
   attempt_ = nullptr;
   EndAttempt(AttemptEnd::kCancelled, 0, now);
@@ -373,9 +378,7 @@
   is_over_ = true;
   due_timer_.cancel();
   SessionAnswer answer(status, 11);
-  if (!caller_.request_id.empty()) {
-    answer.set("Request-Id", caller_.request_id);
-  }
+  traffic_->options().messages.prepare_own_answer(caller_.request_id, &answer);
   if (status == http::status::service_unavailable) {
     answer.set(http::field::retry_after, kRetryAfterSeconds);
   }
--- a/modules/gg_entry/request_run.h
+++ b/modules/gg_entry/request_run.h
@@ -61,7 +61,6 @@
   size_t row_ = 0;
   TimePoint attempt_began_{};
   bool is_over_ = false;  // the caller has its answer or is gone
-  bool is_caller_gone_ = false;
 };
 
 }  // namespace greengage
--- a/modules/gg_request/cold_pacer.h
+++ b/modules/gg_request/cold_pacer.h
@@ -26,6 +26,9 @@
 
   explicit ColdPacer(Options options) : options_(std::move(options)) {}
 
+  /** Sets another slack; what was sent stays counted. */
+  void SetSlack(double slack) { options_.slack = slack; }
+
   /** Takes one request of the share, if there is one left.
       @param rate  requests a second that the target bears.
       @param senders  daemons that may be sending. */
--- a/modules/gg_request/retry_allowance.h
+++ b/modules/gg_request/retry_allowance.h
@@ -28,6 +28,9 @@
 
   explicit RetryAllowance(Options options) : options_(options) {}
 
+  /** Sets other limits; what was counted stays. */
+  void SetOptions(Options options) { options_ = options; }
+
   /** Notes a caller's request for `service`. */
   void NoteRequest(const std::string& service, TimePoint now);
 
--- a/modules/gg_request/target_picker.h
+++ b/modules/gg_request/target_picker.h
@@ -71,6 +71,9 @@
 
   TargetPicker(Options options, TargetBoard* board);
 
+  /** Sets another slack for cold targets; see ColdPacer. */
+  void SetColdSlack(double slack) { pacer_.SetSlack(slack); }
+
   /** Sets a new view. The board must have it already. */
   void SetView(FleetViewPtr view);
 
--- a/tests/entry/entry_path_test.cc
+++ b/tests/entry/entry_path_test.cc
@@ -199,6 +199,24 @@
   CHECK_TRUE(taken > 0.3 && taken < 0.9);
 }
 
+TEST(EntryPath, OrderWhoseCallerLeft_EndsAtItsTimeLimit) {
+  Serve(400);
+  asio::io_context io;
+  asio::ip::tcp::socket socket(io);
+  socket.connect(*ParseEndpoint(kFront));
+  http::request<http::string_body> request(http::verb::post, "/order/slow", 11);
+  request.set(http::field::host, "shop.example");
+  request.set("Request-Id", "left");
+  request.prepare_payload();
+  http::write(socket, request);
+  CHECK_TRUE(WaitFor([&] { return world->RunCount("left") == 1; }));
+  socket.close();
+  CHECK_TRUE(WaitFor([&] {
+    return Contains(Get(kReady, "/metrics").body(),
+                    "greengage_attempts_total{end=\"timed_out\"} 1");
+  }));
+}
+
 TEST(EntryPath, FailureOfTheTarget_IsPassedOnUnchanged) {
   Serve();
   const Answer answer = Order("fail");
--- a/tests/entry/request_test.cc
+++ b/tests/entry/request_test.cc
@@ -156,6 +156,13 @@
   CHECK_TRUE(allowance.TryTake("shop", 11, At(11.1)));
 }
 
+TEST(RetryAllowance, ChangedLimits_KeepWhatWasTaken) {
+  while (allowance.TryTake("shop", 11, At(0))) {
+  }
+  allowance.SetOptions({.ratio = 0.2, .fleet_allowance = 55, .used_part = 1});
+  CHECK_FALSE(allowance.TryTake("shop", 11, At(1)));
+}
+
 TEST_GROUP(AttemptPolicy) {
   bool has_budget = true;
   int asked = 0;
