--- /dev/null
+++ b/modules/gg_control/control_scheduler.cc
@@ -0,0 +1,14 @@
+#include "gg_control/control_scheduler.h"
+
+#include <caf/all.hpp>
+
+namespace greengage {
+
+caf::actor_system_config& SingleThreadConfig(caf::actor_system_config* config) {
+  config->set("scheduler.max-threads", 1);
+  // The default policy polls for work to steal even when there is none.
+  config->set("scheduler.policy", caf::atom("sharing"));
+  return *config;
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/modules/gg_control/control_scheduler.h
@@ -0,0 +1,15 @@
+#ifndef GG_CONTROL_CONTROL_SCHEDULER_H_
+#define GG_CONTROL_CONTROL_SCHEDULER_H_
+
+namespace caf {
+class actor_system_config;
+}  // namespace caf
+
+namespace greengage {
+
+/** Sets `config` to a scheduler with one thread, and returns it. */
+caf::actor_system_config& SingleThreadConfig(caf::actor_system_config* config);
+
+}  // namespace greengage
+
+#endif  // GG_CONTROL_CONTROL_SCHEDULER_H_
--- a/modules/gg_daemon/control_actor.cc
+++ b/modules/gg_daemon/control_actor.cc
@@ -4,6 +4,8 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 
+#include "gg_control/control_scheduler.h"
+
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(greengage::ControlMessage)
 
 namespace greengage {
@@ -81,13 +83,6 @@
   }
 };
 
-caf::actor_system_config& SingleThreadConfig(caf::actor_system_config* config) {
-  config->set("scheduler.max-threads", 1);
-  // The default policy polls for work to steal even when there is none.
-  config->set("scheduler.policy", caf::atom("sharing"));
-  return *config;
-}
-
 }  // namespace
 
 struct ControlActor::State {
--- a/modules/gg_entry/fleet_control.cc
+++ b/modules/gg_entry/fleet_control.cc
@@ -2,6 +2,7 @@
 
 #include <caf/all.hpp>
 
+#include "gg_control/control_scheduler.h"
 #include "gg_core/system_inputs.h"
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(greengage::FleetEvent)
@@ -16,13 +17,6 @@
 
 uint64_t WallMilliseconds() { return WallMicroseconds() / 1000; }
 
-caf::actor_system_config& SingleThreadConfig(caf::actor_system_config* config) {
-  config->set("scheduler.max-threads", 1);
-  // The default policy polls for work to steal even when there is none.
-  config->set("scheduler.policy", caf::atom("sharing"));
-  return *config;
-}
-
 }  // namespace
 
 struct FleetControl::State {
--- a/modules/gg_entry/target_link_pool.cc
+++ b/modules/gg_entry/target_link_pool.cc
@@ -1,7 +1,5 @@
 #include "gg_entry/target_link_pool.h"
 
-#include <sys/socket.h>
-
 namespace greengage {
 namespace {
 
@@ -12,14 +10,6 @@
 /** Idle connections to one target; more than its usual slots are not needed. */
 constexpr size_t kMostIdle = 16;
 
-/** True when the other side has neither closed nor sent anything. */
-bool IsQuiet(asio::ip::tcp::socket* socket) {
-  char byte = 0;
-  const ssize_t count =
-      ::recv(socket->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 }  // namespace
 
 TargetLinkPtr TargetLinkPool::Take(const std::string& key, TimePoint now) {
@@ -29,7 +19,7 @@
   while (!links.empty()) {
     TargetLinkPtr link = std::move(links.back());
     links.pop_back();
-    if (now < link->usable_until && IsQuiet(&link->socket)) return link;
+    if (now < link->usable_until && IsQuiet(link->socket)) return link;
   }
   return nullptr;
 }
--- a/modules/gg_http/target_pool.cc
+++ b/modules/gg_http/target_pool.cc
@@ -1,21 +1,8 @@
 #include "gg_http/target_pool.h"
 
-#include <sys/socket.h>
-
 #include "gg_core/errors.h"
 
 namespace greengage {
-namespace {
-
-/** True when the other side has neither closed nor sent anything. */
-bool IsQuiet(beast::tcp_stream* stream) {
-  char byte = 0;
-  const ssize_t count = ::recv(stream->socket().native_handle(), &byte, 1,
-                               MSG_PEEK | MSG_DONTWAIT);
-  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
-}  // namespace
 
 TargetConnectionPtr TargetPool::TakeIdle(const std::string& address,
                                          TimePoint now) {
@@ -26,7 +13,7 @@
     TargetConnectionPtr connection = std::move(connections.back());
     connections.pop_back();
     const bool is_fresh = now - connection->idle_since <= options_.max_idle;
-    if (is_fresh && IsQuiet(&connection->stream)) return connection;
+    if (is_fresh && IsQuiet(connection->stream.socket())) return connection;
   }
   return nullptr;
 }
--- a/modules/gg_store/asio.cc
+++ b/modules/gg_store/asio.cc
@@ -1,5 +1,7 @@
 #include "gg_store/asio.h"
 
+#include <sys/socket.h>
+
 #include <charconv>
 
 namespace greengage {
@@ -20,4 +22,11 @@
   return asio::ip::tcp::endpoint(address, port);
 }
 
+bool IsQuiet(asio::ip::tcp::socket& socket) {
+  char byte = 0;
+  const ssize_t count =
+      ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 }  // namespace greengage
--- a/modules/gg_store/asio.h
+++ b/modules/gg_store/asio.h
@@ -42,6 +42,10 @@
 /** Parses "ip:port"; nothing when `text` is no such address. */
 std::optional<asio::ip::tcp::endpoint> ParseEndpoint(std::string_view text);
 
+/** True when the other side has neither closed the connection nor sent
+    anything on it. */
+bool IsQuiet(asio::ip::tcp::socket& socket);
+
 }  // namespace greengage
 
 #endif  // GG_STORE_ASIO_H_
--- a/tests/entry/request_test.cc
+++ b/tests/entry/request_test.cc
@@ -280,6 +280,14 @@
   CHECK_TRUE(board.Slowness(board.row(0), At(9)) < 2);
 }
 
+TEST(TargetBoard, Object_IsKnownAfterItsFirstWorkAndForAWhile) {
+  CHECK_FALSE(board.KnowsObject(board.row(0), 5, At(0)));
+  board.NoteObject(0, 5, At(0));
+  CHECK_TRUE(board.KnowsObject(board.row(0), 5, At(19)));
+  CHECK_FALSE(board.KnowsObject(board.row(1), 5, At(19)));
+  CHECK_FALSE(board.KnowsObject(board.row(0), 5, At(21)));
+}
+
 TEST(TargetBoard, WorkOfOtherDaemonsAndReports_CountAsUtilization) {
   board.SetPeerNotes({{board.row(0).id_hash, {.in_flight = 6}}});
   DOUBLES_EQUAL(6.0 / 9, board.Utilization(board.row(0), At(0)), 1e-9);
--- a/tests/scenario_runner/http_call.cc
+++ b/tests/scenario_runner/http_call.cc
@@ -72,4 +72,9 @@
   if (!error) asio::write(socket, asio::buffer(bytes), error);
 }
 
+nlohmann::json Fetch(const std::string& address, const std::string& path) {
+  return nlohmann::json::parse(Send({.address = address, .path = path}).body,
+                               nullptr, false);
+}
+
 }  // namespace greengage::scenario
--- a/tests/scenario_runner/http_call.h
+++ b/tests/scenario_runner/http_call.h
@@ -2,6 +2,7 @@
 #define TESTS_SCENARIO_RUNNER_HTTP_CALL_H_
 
 #include <map>
+#include <nlohmann/json.hpp>
 #include <string>
 
 namespace greengage::scenario {
@@ -24,6 +25,9 @@
 /** Sends one request, blocking; status 0 when no whole answer came. */
 Reply Send(const Call& call);
 
+/** Returns the JSON that a GET of `path` answers; null when there is none. */
+nlohmann::json Fetch(const std::string& address, const std::string& path);
+
 /** Sends bytes and returns what comes back until the other side closes or is
     silent for a second. */
 std::string SendRaw(const std::string& address, const std::string& bytes);
--- a/tests/scenario_runner/scenario_runner.cc
+++ b/tests/scenario_runner/scenario_runner.cc
@@ -1,7 +1,5 @@
 // Runs one scenario file: a list of commands, a line each, against real
-// processes. docs/SCENARIOS.md describes the language. A failure names the
-// line.
-//
+// processes. docs/SCENARIOS.md describes the language.
 //   scenario_runner --bin DIR --source DIR FILE
 
 #include <signal.h>
@@ -15,7 +13,6 @@
 #include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
-#include <optional>
 #include <regex>
 #include <sstream>
 #include <thread>
@@ -24,99 +21,18 @@
 #include "gg_core/time.h"
 #include "scenario_runner/http_call.h"
 #include "scenario_runner/process.h"
+#include "scenario_runner/scenario_text.h"
 
 namespace greengage::scenario {
 namespace {
 
 using nlohmann::json;
 namespace fs = std::filesystem;
-using Words = std::vector<std::string>;
 
 constexpr Duration kPoll = std::chrono::milliseconds(50);
 
-/** A step of the scenario did not hold. */
-struct Failure : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
-
 TimePoint Now() { return std::chrono::steady_clock::now(); }
 
-/** Splits a line at blanks; quotes keep a word together. */
-Words SplitWords(const std::string& line) {
-  Words words;
-  std::istringstream stream(line);
-  std::string word;
-  while (stream >> std::ws && stream.peek() != EOF) {
-    if (stream.peek() == '#') break;
-    if (stream.peek() == '"') {
-      stream >> std::quoted(word);
-    } else {
-      stream >> word;
-    }
-    words.push_back(word);
-  }
-  return words;
-}
-
-Duration ParseDuration(const std::string& text) {
-  size_t used = 0;
-  const double value = std::stod(text, &used);
-  const std::string unit = text.substr(used);
-  if (unit == "ms") return FromSeconds(value / 1000);
-  if (unit == "s") return FromSeconds(value);
-  throw Failure("'" + text + "' is no duration; write 500ms or 5s");
-}
-
-std::string Join(const Words& words, size_t from) {
-  std::string text;
-  for (size_t i = from; i < words.size(); ++i) {
-    text += (i == from ? "" : " ") + words[i];
-  }
-  return text;
-}
-
-/** Finds a value by a path with slashes; numbers index arrays, and "count" is
-   the number of items. */
-json Find(const json& root, const std::string& path) {
-  const json* at = &root;
-  std::istringstream parts(path);
-  std::string part;
-  while (std::getline(parts, part, '/')) {
-    if (at->is_object() && at->contains(part)) {
-      at = &at->at(part);
-    } else if (at->is_array() && !part.empty() &&
-               part.find_first_not_of("0123456789") == std::string::npos &&
-               std::stoul(part) < at->size()) {
-      at = &at->at(std::stoul(part));
-    } else if (part == "count") {
-      return at->size();
-    } else {
-      return nullptr;
-    }
-  }
-  return *at;
-}
-
-std::string Plain(const json& value) {
-  return value.is_string() ? value.get<std::string>() : value.dump();
-}
-
-bool Compare(const json& value, const std::string& relation,
-             const std::string& wanted) {
-  const std::string text = Plain(value);
-  if (relation == "==") return text == wanted;
-  if (relation == "!=") return text != wanted;
-  if (relation == "~") return std::regex_search(text, std::regex(wanted));
-  if (!value.is_number()) return false;
-  const double number = value.get<double>();
-  const double limit = std::stod(wanted);
-  if (relation == "<=") return number <= limit;
-  if (relation == ">=") return number >= limit;
-  if (relation == "<") return number < limit;
-  if (relation == ">") return number > limit;
-  throw Failure("'" + relation + "' is no relation; use == != ~ < <= > >=");
-}
-
 class Runner {
  public:
   struct Options {
@@ -143,7 +59,7 @@
     int number = 0;
     while (std::getline(file, line)) {
       ++number;
-      const Words words = Substitute(SplitWords(line));
+      const Words words = Substitute(SplitWords(line), variables_);
       if (words.empty()) continue;
       try {
         RunLine(words);
@@ -199,35 +115,6 @@
     command->second(words);
   }
 
-  static const std::string& At(const Words& words, size_t index) {
-    if (index >= words.size()) {
-      throw Failure("word " + std::to_string(index + 1) + " is missing");
-    }
-    return words[index];
-  }
-
-  /** Returns the word after `name`, or `fallback`. */
-  static std::string Named(const Words& words, const std::string& name,
-                           const std::string& fallback = "") {
-    for (size_t i = 0; i + 1 < words.size(); ++i) {
-      if (words[i] == name) return words[i + 1];
-    }
-    return fallback;
-  }
-
-  Words Substitute(Words words) const {
-    for (std::string& word : words) {
-      for (const auto& [name, value] : variables_) {
-        const std::string mark = "$" + name;
-        for (size_t at = word.find(mark); at != std::string::npos;
-             at = word.find(mark, at + value.size())) {
-          word.replace(at, mark.size(), value);
-        }
-      }
-    }
-    return words;
-  }
-
   Process& Of(const std::string& name) {
     const auto found = processes_.find(name);
     if (found == processes_.end()) throw Failure("no process '" + name + "'");
@@ -286,12 +173,6 @@
                 "==", "0"});
   }
 
-  std::string ReadText(const fs::path& path) const {
-    std::ifstream file(path, std::ios::binary);
-    if (!file) throw Failure("cannot read " + path.string());
-    return std::string(std::istreambuf_iterator<char>(file), {});
-  }
-
   void WriteDocument(const Words& w) {
     std::string text = ReadText(fs::path(options_.source) / At(w, 1));
     for (size_t at = 0; (at = text.find("@NET@", at)) != std::string::npos;) {
@@ -483,24 +364,12 @@
   /** garbage DAEMON COUNT SEED: bytes of chance, and broken forms of a request,
      to each of its three ports. */
   void SendGarbage(const Words& w) {
-    static const std::string kRequest =
-        "PUT /drawings/1 HTTP/1.1\r\nHost: shop.example\r\n"
-        "Content-Length: 40\r\nTransfer-Encoding: "
-        "chunked\r\n\r\n5\r\nabcde\r\n";
     Random random(std::stoull(At(w, 3)));
     const int count = std::stoi(At(w, 2));
     for (int i = 0; i < count; ++i) {
-      std::string bytes = kRequest;
-      if (random.Below(2) == 0) {
-        for (char& c : bytes) c = static_cast<char>(random.Next());
-      }
-      const uint64_t edits = random.Below(6);
-      for (uint64_t edit = 0; edit < edits; ++edit) {
-        bytes[random.Below(bytes.size())] = static_cast<char>(random.Next());
-      }
-      bytes.resize(1 + random.Below(bytes.size()));
       static const char* const kPorts[] = {"8080", "7000", "9090"};
-      SendAndClose(DaemonAddress(At(w, 1), kPorts[i % 3]), bytes);
+      SendAndClose(DaemonAddress(At(w, 1), kPorts[i % 3]),
+                   GarbageBytes(&random));
     }
   }
 
@@ -552,11 +421,6 @@
     throw Failure("'" + kind + "' is no condition");
   }
 
-  static json Fetch(const std::string& address, const std::string& path) {
-    return json::parse(Send({.address = address, .path = path}).body, nullptr,
-                       false);
-  }
-
   bool Check(const json& value, const Words& w, size_t relation) {
     last_found_ = Plain(value).substr(0, 2000);
     return Compare(value, At(w, relation), At(w, relation + 1));
@@ -590,27 +454,9 @@
 
   void Record(const std::string& text) { transcript_ += text + "\n"; }
 
-  /** Replaces what differs from run to run by fixed words. */
-  std::string Normalized() const {
-    static const std::vector<std::pair<std::regex, std::string>> kRules = {
-        {std::regex("gg1-[0-9.:]+-[0-9-]+"), "KEY"},
-        {std::regex("edit [0-9a-f]{10}-[0-9a-f]{16}"), "edit ID"},
-        {std::regex("\"edit\":\"[0-9a-f-]+\""), "\"edit\":\"ID\""},
-        {std::regex("[0-9]{4}-[0-9]{2}-[0-9]{2}T[0-9:]{8}Z"), "TIME"},
-        {std::regex("revision(\"?[: ]+)[0-9]+"), "revision$1N"},
-        {std::regex("(/[A-Za-z0-9_.-]+)+/(document|section|base).yaml"),
-         "$2.yaml"},
-    };
-    std::string text = transcript_;
-    for (const auto& [pattern, replacement] : kRules) {
-      text = std::regex_replace(text, pattern, replacement);
-    }
-    return text;
-  }
-
   void CompareGolden(const Words& w) {
     const fs::path path = fs::path(options_.source) / At(w, 1);
-    const std::string found = Normalized();
+    const std::string found = Normalized(transcript_);
     if (options_.renew_golden) {
       std::ofstream(path, std::ios::binary) << found;
       return;
@@ -620,18 +466,7 @@
   }
 
   void DumpLogs() const {
-    for (const auto& [name, process] : processes_) {
-      std::ifstream log(process.output);
-      std::vector<std::string> lines;
-      std::string line;
-      while (std::getline(log, line)) lines.push_back(line);
-      std::cout << "--- " << name << " (last lines)\n";
-      constexpr size_t kLines = 15;
-      const size_t first = lines.size() > kLines ? lines.size() - kLines : 0;
-      for (size_t i = first; i < lines.size(); ++i) {
-        std::cout << lines[i].substr(0, 500) << "\n";
-      }
-    }
+    for (const auto& entry : processes_) PrintLastLines(entry.second.output);
   }
 
   Options options_;
--- /dev/null
+++ b/tests/scenario_runner/scenario_text.cc
@@ -0,0 +1,167 @@
+#include "scenario_runner/scenario_text.h"
+
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <regex>
+#include <sstream>
+
+namespace greengage::scenario {
+
+using nlohmann::json;
+
+Words SplitWords(const std::string& line) {
+  Words words;
+  std::istringstream stream(line);
+  std::string word;
+  while (stream >> std::ws && stream.peek() != EOF) {
+    if (stream.peek() == '#') break;
+    if (stream.peek() == '"') {
+      stream >> std::quoted(word);
+    } else {
+      stream >> word;
+    }
+    words.push_back(word);
+  }
+  return words;
+}
+
+Duration ParseDuration(const std::string& text) {
+  size_t used = 0;
+  const double value = std::stod(text, &used);
+  const std::string unit = text.substr(used);
+  if (unit == "ms") return FromSeconds(value / 1000);
+  if (unit == "s") return FromSeconds(value);
+  throw Failure("'" + text + "' is no duration; write 500ms or 5s");
+}
+
+std::string Join(const Words& words, size_t from) {
+  std::string text;
+  for (size_t i = from; i < words.size(); ++i) {
+    text += (i == from ? "" : " ") + words[i];
+  }
+  return text;
+}
+
+json Find(const json& root, const std::string& path) {
+  const json* at = &root;
+  std::istringstream parts(path);
+  std::string part;
+  while (std::getline(parts, part, '/')) {
+    if (at->is_object() && at->contains(part)) {
+      at = &at->at(part);
+    } else if (at->is_array() && !part.empty() &&
+               part.find_first_not_of("0123456789") == std::string::npos &&
+               std::stoul(part) < at->size()) {
+      at = &at->at(std::stoul(part));
+    } else if (part == "count") {
+      return at->size();
+    } else {
+      return nullptr;
+    }
+  }
+  return *at;
+}
+
+std::string Plain(const json& value) {
+  return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+bool Compare(const json& value, const std::string& relation,
+             const std::string& wanted) {
+  const std::string text = Plain(value);
+  if (relation == "==") return text == wanted;
+  if (relation == "!=") return text != wanted;
+  if (relation == "~") return std::regex_search(text, std::regex(wanted));
+  if (!value.is_number()) return false;
+  const double number = value.get<double>();
+  const double limit = std::stod(wanted);
+  if (relation == "<=") return number <= limit;
+  if (relation == ">=") return number >= limit;
+  if (relation == "<") return number < limit;
+  if (relation == ">") return number > limit;
+  throw Failure("'" + relation + "' is no relation; use == != ~ < <= > >=");
+}
+
+const std::string& At(const Words& words, size_t index) {
+  if (index >= words.size()) {
+    throw Failure("word " + std::to_string(index + 1) + " is missing");
+  }
+  return words[index];
+}
+
+std::string Named(const Words& words, const std::string& name,
+                  const std::string& fallback) {
+  for (size_t i = 0; i + 1 < words.size(); ++i) {
+    if (words[i] == name) return words[i + 1];
+  }
+  return fallback;
+}
+
+Words Substitute(Words words,
+                 const std::map<std::string, std::string>& variables) {
+  for (std::string& word : words) {
+    for (const auto& [name, value] : variables) {
+      const std::string mark = "$" + name;
+      for (size_t at = word.find(mark); at != std::string::npos;
+           at = word.find(mark, at + value.size())) {
+        word.replace(at, mark.size(), value);
+      }
+    }
+  }
+  return words;
+}
+
+std::string ReadText(const std::filesystem::path& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) throw Failure("cannot read " + path.string());
+  return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+std::string Normalized(std::string transcript) {
+  static const std::vector<std::pair<std::regex, std::string>> kRules = {
+      {std::regex("gg1-[0-9.:]+-[0-9-]+"), "KEY"},
+      {std::regex("edit [0-9a-f]{10}-[0-9a-f]{16}"), "edit ID"},
+      {std::regex("\"edit\":\"[0-9a-f-]+\""), "\"edit\":\"ID\""},
+      {std::regex("[0-9]{4}-[0-9]{2}-[0-9]{2}T[0-9:]{8}Z"), "TIME"},
+      {std::regex("revision(\"?[: ]+)[0-9]+"), "revision$1N"},
+      {std::regex("(/[A-Za-z0-9_.-]+)+/(document|section|base).yaml"),
+       "$2.yaml"},
+  };
+  for (const auto& [pattern, replacement] : kRules) {
+    transcript = std::regex_replace(transcript, pattern, replacement);
+  }
+  return transcript;
+}
+
+std::string GarbageBytes(Random* random) {
+  static const std::string kRequest =
+      "PUT /drawings/1 HTTP/1.1\r\nHost: shop.example\r\n"
+      "Content-Length: 40\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n5\r\nabcde\r\n";
+  std::string bytes = kRequest;
+  if (random->Below(2) == 0) {
+    for (char& c : bytes) c = static_cast<char>(random->Next());
+  }
+  const uint64_t edits = random->Below(6);
+  for (uint64_t edit = 0; edit < edits; ++edit) {
+    bytes[random->Below(bytes.size())] = static_cast<char>(random->Next());
+  }
+  bytes.resize(1 + random->Below(bytes.size()));
+  return bytes;
+}
+
+void PrintLastLines(const std::filesystem::path& path) {
+  std::ifstream log(path);
+  std::vector<std::string> lines;
+  std::string line;
+  while (std::getline(log, line)) lines.push_back(line);
+  std::cout << "--- " << path.stem().string() << " (last lines)\n";
+  constexpr size_t kLines = 15;
+  const size_t first = lines.size() > kLines ? lines.size() - kLines : 0;
+  for (size_t i = first; i < lines.size(); ++i) {
+    std::cout << lines[i].substr(0, 500) << "\n";
+  }
+}
+
+}  // namespace greengage::scenario
