--- a/modules/gg_entry/request_run.cc
+++ b/modules/gg_entry/request_run.cc
@@ -3,10 +3,10 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
-#include "gg_core/hash.h"
 #include "gg_http/header_policy.h"
 #include "gg_insight/event_log.h"
 #include "gg_insight/metrics.h"
+#include "gg_request/object_key.h"
 
 namespace greengage {
 namespace {
@@ -105,8 +105,7 @@
   const Pick pick = traffic_->picker().Choose(
       {.route = route_,
        .service = service_,
-       .object = route_->sticky ? std::string_view(caller_.object)
-                                : std::string_view(),
+       .object = caller_.object,
        .tried = tried_,
        .region = region_},
       now);
@@ -260,8 +259,8 @@
 }
 
 double RequestRun::RelativeTime(TimePoint now) {
-  if (!route_->sticky || caller_.object.empty()) return 0;
-  const uint64_t object = Hash64(caller_.object, Hash64(route_->name));
+  const uint64_t object = ObjectKey(*route_, caller_.object);
+  if (object == 0) return 0;
   TargetBoard& board = traffic_->board();
   // Only work on a known object is comparable: the first is much slower.
   const bool is_known = board.KnowsObject(board.row(row_), object, now);
--- a/modules/gg_request/gg_request.h
+++ b/modules/gg_request/gg_request.h
@@ -11,6 +11,7 @@
 
 #include "gg_request/attempt_policy.h"
 #include "gg_request/cold_pacer.h"
+#include "gg_request/object_key.h"
 #include "gg_request/proportional_choice.h"
 #include "gg_request/region_plan.h"
 #include "gg_request/retry_allowance.h"
--- a/modules/gg_request/target_picker.cc
+++ b/modules/gg_request/target_picker.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
-#include "gg_core/hash.h"
 #include "gg_fleet/fleet_config.h"
+#include "gg_request/object_key.h"
 
 namespace greengage {
 namespace {
@@ -95,8 +95,8 @@
     if (board_->row(index).target.cold_until <= now) warm.push_back(index);
   }
   if (!warm.empty()) candidates = std::move(warm);
-  if (request.object.empty()) return candidates;
-  const uint64_t object = Hash64(request.object);
+  const uint64_t object = ObjectKey(*request.route, request.object);
+  if (object == 0) return candidates;
   std::sort(candidates.begin(), candidates.end(), [&](size_t a, size_t b) {
     return Score(object, board_->row(a)) > Score(object, board_->row(b));
   });
@@ -174,8 +174,9 @@
     pick.reason = NoTarget::kNoneUsable;
     return pick;
   }
-  const size_t best = request.object.empty() ? PickIdlest(candidates, now)
-                                             : PickForObject(candidates, now);
+  const bool has_object = ObjectKey(*request.route, request.object) != 0;
+  const size_t best = has_object ? PickForObject(candidates, now)
+                                 : PickIdlest(candidates, now);
   pick.is_first_choice = best == candidates.front();
   const BoardRow& row = board_->row(best);
   if (board_->Utilization(row, now) >= options_.full_utilization) {
--- a/tests/entry/request_test.cc
+++ b/tests/entry/request_test.cc
@@ -385,6 +385,31 @@
   }
 }
 
+// Targets remember an object for each route apart, so that one target for both
+// would gain nothing and make the load uneven.
+TEST(TargetPicker, EqualNamesOnTwoRoutes_AreTwoObjects) {
+  Use(MakeView({{"north", 8}}));
+  RouteRule other = view.config->routes[0];
+  other.name = "order";
+  int together = 0;
+  for (int i = 0; i < 80; ++i) {
+    const std::string object = absl::StrCat("object-", i);
+    const Pick pick = picker.Choose(
+        {.route = &other, .service = "shop", .object = object}, At(0));
+    if (board.row(*pick.row).target.record.id == TargetOf(object)) ++together;
+  }
+  CHECK_TRUE(together < 30);  // 10 by chance
+}
+
+TEST(TargetPicker, ObjectOfRouteThatGainsNothing_IsNoObject) {
+  Use(MakeView({{"north", 8}}));
+  RouteRule plain = view.config->routes[0];
+  plain.sticky = false;
+  LONGS_EQUAL(0, ObjectKey(plain, "tool"));
+  LONGS_EQUAL(0, ObjectKey(view.config->routes[0], ""));
+  CHECK_TRUE(ObjectKey(view.config->routes[0], "tool") != 0);
+}
+
 TEST(TargetPicker, LostTarget_MovesItsOwnObjectsOnly) {
   Use(MakeView({{"north", 8}}));
   std::map<std::string, std::string> before;
