Turn the less urgent away first, and tell callers when there is room

Cause: under overload every kind was refused at the same fill of a target, so that what a caller got was decided by arrival; and every refused caller was told to come back after 0.5 s, all of a burst at once and whatever waited at the target.

Change: routes below the configuration's most urgent rank are refused from 1.9 requests a slot on instead of 2.2. ReturnAfter() gives the time in which the target works off what waits there, lengthened at random by up to as much again, and at most a third of what the caller has left. Refusals log both.

--- a/modules/gg_entry/entry_traffic.cc
+++ b/modules/gg_entry/entry_traffic.cc
@@ -27,7 +27,8 @@
 
 }  // namespace
 
-EntryTraffic::EntryTraffic(Options options) : options_(std::move(options)) {
+EntryTraffic::EntryTraffic(Options options)
+    : options_(std::move(options)), random_(options_.seed) {
   const EntrySettings& settings = options_.settings;
   picker_ = std::make_unique<TargetPicker>(
       TargetPicker::Options{.self = settings.host_name,
@@ -74,6 +75,12 @@
   return route.shares[splits_[route.name].Next(weights)].service;
 }
 
+Duration EntryTraffic::UsualTime(const std::string& route) const {
+  const auto found = usual_seconds_.find(route);
+  return found == usual_seconds_.end() ? Duration::zero()
+                                       : FromSeconds(found->second);
+}
+
 double EntryTraffic::RelativeTime(const std::string& route, Duration time) {
   const double seconds = ToSeconds(time);
   const auto [found, is_new] = usual_seconds_.try_emplace(route, seconds);
--- a/modules/gg_entry/entry_traffic.h
+++ b/modules/gg_entry/entry_traffic.h
@@ -60,10 +60,14 @@
   TargetPicker& picker() { return *picker_; }
   TargetLinkPool& links() { return links_; }
   RetryAllowance& retries() { return retries_; }
+  Random& random() { return random_; }
 
   /** Returns the service that the next request of `route` goes to. */
   std::string ChooseService(const RouteRule& route);
 
+  /** Returns how long an answer on the route usually takes; zero: unknown. */
+  Duration UsualTime(const std::string& route) const;
+
   /** Returns `time` against what is usual for the route, and learns from it. */
   double RelativeTime(const std::string& route, Duration time);
 
@@ -77,6 +81,7 @@
   TargetLinkPool links_;
   std::map<std::string, ProportionalChoice> splits_;  // by route
   std::map<std::string, double> usual_seconds_;       // by route
+  Random random_;
   bool is_closing_ = false;
 };
 
--- a/modules/gg_entry/request_run.cc
+++ b/modules/gg_entry/request_run.cc
@@ -3,10 +3,12 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
 #include "gg_http/header_policy.h"
 #include "gg_insight/event_log.h"
 #include "gg_insight/metrics.h"
 #include "gg_request/object_key.h"
+#include "gg_request/return_policy.h"
 
 namespace greengage {
 namespace {
@@ -18,10 +20,6 @@
    for a slow target; a lost first packet is not waited for. */
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
 
-/** When a caller may come back after a refusal: about one service time, when as
-    many slots as are busy now have become free. */
-constexpr const char* kRetryAfterSeconds = "0.5";
-
 /** How long targets keep a connection when they do not say. */
 constexpr Duration kDefaultIdleLimit = std::chrono::seconds(2);
 
@@ -57,6 +55,17 @@
 
 Duration RequestRun::Left(TimePoint now) const { return due_at_ - now; }
 
+Duration RequestRun::ReturnPause(TimePoint now) const {
+  RefusalState state{.utilization = refused_utilization_,
+                     .time_left = Left(now)};
+  if (route_ != nullptr) state.usual_time = traffic_->UsualTime(route_->name);
+  // The route's time ends this attempt only; the caller's own is what counts.
+  if (caller_.time_left) {
+    state.time_left = *caller_.time_left - (now - arrived_);
+  }
+  return ReturnAfter(state, traffic_->random().Uniform());
+}
+
 std::string RequestRun::RowKey() const {
   return traffic_->board().row(row_).key;
 }
@@ -109,6 +118,7 @@
                                                .region = region_},
                                               now);
   if (!pick.row) {
+    refused_utilization_ = pick.refused_utilization;
     const std::string reason(kNoTargetNames.Name(pick.reason));
     if (state_.may_have_run) {
       Refuse(http::status::bad_gateway, Event::kRequestFailed, reason, now);
@@ -379,17 +389,21 @@
   due_timer_.cancel();
   SessionAnswer answer(status, 11);
   traffic_->options().messages.prepare_own_answer(caller_.request_id, &answer);
+  std::string outcome =
+      absl::StrCat("status=", static_cast<int>(status), " reason=", reason);
   if (status == http::status::service_unavailable) {
-    answer.set(http::field::retry_after, kRetryAfterSeconds);
+    const Duration pause = ReturnPause(now);
+    answer.set(http::field::retry_after,
+               absl::StrFormat("%.3f", ToSeconds(pause)));
+    absl::StrAppend(&outcome, " utilization=", refused_utilization_,
+                    " return_ms=", Ms(pause));
   }
   answer.set(http::field::content_type, "text/plain");
   answer.body() = reason + "\n";
   answer.prepare_payload();
   traffic_->options().metrics->Count("greengage_refusals_total",
                                      absl::StrCat("reason=\"", reason, "\""));
-  Log(LogLevel::kInfo, event,
-      absl::StrCat("status=", static_cast<int>(status), " reason=", reason),
-      now);
+  Log(LogLevel::kInfo, event, outcome, now);
   session_->Answer(std::move(answer), traffic_->is_closing());
 }
 
--- a/modules/gg_entry/request_run.h
+++ b/modules/gg_entry/request_run.h
@@ -40,6 +40,7 @@
            TimePoint now) const;
   double RelativeTime(TimePoint now);
   Duration Left(TimePoint now) const;
+  Duration ReturnPause(TimePoint now) const;
   std::string RowKey() const;
 
   EntryTraffic* traffic_;  // not owned
@@ -56,6 +57,7 @@
   std::vector<size_t> tried_;
   std::string region_;
   bool is_first_choice_ = false;
+  double refused_utilization_ = 0;  // see Pick
 
   std::shared_ptr<TargetAttempt> attempt_;
   size_t row_ = 0;
--- a/modules/gg_request/gg_request.h
+++ b/modules/gg_request/gg_request.h
@@ -17,6 +17,7 @@
 #include "gg_request/proportional_choice.h"
 #include "gg_request/region_plan.h"
 #include "gg_request/retry_allowance.h"
+#include "gg_request/return_policy.h"
 #include "gg_request/route_table.h"
 #include "gg_request/target_board.h"
 #include "gg_request/target_picker.h"
--- a/modules/gg_request/target_picker.cc
+++ b/modules/gg_request/target_picker.cc
@@ -36,7 +36,19 @@
       pacer_({.self = options_.self, .slack = options_.cold_slack}),
       random_(options_.seed) {}
 
-void TargetPicker::SetView(FleetViewPtr view) { view_ = std::move(view); }
+void TargetPicker::SetView(FleetViewPtr view) {
+  view_ = std::move(view);
+  if (view_->config == nullptr) return;
+  most_urgent_ = std::numeric_limits<int>::max();
+  for (const RouteRule& route : view_->config->routes) {
+    most_urgent_ = std::min(most_urgent_, route.priority);
+  }
+}
+
+double TargetPicker::FullUtilization(const RouteRule& route) const {
+  const bool is_urgent = route.priority <= most_urgent_;
+  return options_.full_utilization - (is_urgent ? 0 : options_.rank_step);
+}
 
 double TargetPicker::ColdRate(const BoardRow& row) const {
   if (view_ == nullptr || view_->config == nullptr) return 0;
@@ -221,8 +233,10 @@
                                   : PickIdlest(candidates, now);
   pick.is_first_choice = best == candidates.front();
   const BoardRow& row = board_->row(best);
-  if (board_->Utilization(row, now) >= options_.full_utilization) {
+  const double utilization = board_->Utilization(row, now);
+  if (utilization >= FullUtilization(*request.route)) {
     pick.reason = NoTarget::kAllFull;
+    pick.refused_utilization = utilization;
     return pick;
   }
   if (row.target.cold_until > now) {
--- a/modules/gg_request/target_picker.h
+++ b/modules/gg_request/target_picker.h
@@ -41,6 +41,9 @@
   std::string region;  // where the request is to run
   NoTarget reason = NoTarget::kNone;
   bool is_first_choice = false;  // the object's first target
+  /** Requests against slots at the target that was too full; 0: there is none.
+   */
+  double refused_utilization = 0;
 };
 
 /** Chooses the target of a request.
@@ -70,6 +73,11 @@
     double spill_utilization = 0.6;
     /** The same, above which nothing more is sent to a target. */
     double full_utilization = 2.2;
+    /** How much lower it is for routes that are less urgent than the most
+       urgent one of the configuration: room for about one urgent request a
+       slot's third, so that under overload the more urgent ones are turned away
+        last. */
+    double rank_step = 0.3;
     /** Part of a region's targets below which all stay in use although they
         failed lately: fewer could not carry its load, and would fail next. */
     double least_working_part = 0.7;
@@ -112,6 +120,7 @@
                                      TimePoint now) const;
   bool IsUsable(size_t row, const PickRequest& request, TimePoint now);
   double ColdRate(const BoardRow& row) const;
+  double FullUtilization(const RouteRule& route) const;
   double Cost(const BoardRow& row, TimePoint now) const;
   size_t PickForObject(const std::vector<size_t>& ordered, uint64_t object,
                        TimePoint now) const;
@@ -120,6 +129,7 @@
   Options options_;
   TargetBoard* board_;  // not owned
   FleetViewPtr view_;
+  int most_urgent_ = 0;  // rank of the configuration's most urgent route
   std::map<std::string, ServicePlan> plans_;      // by service and home regions
   ArrivalRate arrivals_{ArrivalRate::Options{}};  // of all services
   ColdPacer pacer_;
--- a/tests/entry/request_test.cc
+++ b/tests/entry/request_test.cc
@@ -500,6 +500,57 @@
   CHECK_TRUE(pick.reason == NoTarget::kAllFull);
 }
 
+// Under overload the more urgent kind is turned away last.
+TEST(TargetPicker, LessUrgentRoute_IsRefusedEarlier) {
+  FleetView ranked = MakeView({{"north", 4}});
+  auto config = std::make_shared<FleetConfig>(*ranked.config);
+  RouteRule urgent = config->routes[0];
+  urgent.name = "order";
+  urgent.priority = 0;
+  config->routes[0].priority = 1;
+  config->routes.push_back(urgent);
+  ranked.config = config;
+  Use(ranked);
+  for (size_t i = 0; i < 4; ++i) board.NoteReport(i, 18, At(0));  // 2.0 a slot
+  const Pick browse = Choose("tool");
+  CHECK_TRUE(browse.reason == NoTarget::kAllFull);
+  DOUBLES_EQUAL(2, browse.refused_utilization, 1e-9);
+  const Pick order = picker.Choose(
+      {.route = &view.config->routes[1], .service = "shop", .object = "tool"},
+      At(0));
+  CHECK_TRUE(order.row.has_value());
+}
+
+TEST_GROUP(ReturnAfter){
+    /** Seconds for a caller with `left` s; the target has 3 requests a slot. */
+    double Seconds(double draw, double left = 10,
+                   double utilization = 3){return ToSeconds(
+        ReturnAfter({.utilization = utilization,
+                     .usual_time = std::chrono::milliseconds(250),
+                     .time_left = FromSeconds(left)},
+                    draw));
+}
+}
+;
+
+TEST(ReturnAfter, FullTarget_IsComeBackToWhenItHasWorkedOffWhatWaits) {
+  DOUBLES_EQUAL(0.5, Seconds(0), 1e-6);
+}
+
+TEST(ReturnAfter, ManyRefusedAtOnce_AreSpread) {
+  DOUBLES_EQUAL(0.75, Seconds(0.5), 1e-6);
+  DOUBLES_EQUAL(1, Seconds(1), 1e-6);
+}
+
+TEST(ReturnAfter, CallerWithLittleTime_IsNotSentAwayForMoreThanAThird) {
+  DOUBLES_EQUAL(0.2, Seconds(0.5, 0.6), 1e-6);
+  DOUBLES_EQUAL(0, Seconds(0.5, -1), 1e-6);
+}
+
+TEST(ReturnAfter, NoTarget_IsWaitedForLonger) {
+  CHECK_TRUE(Seconds(0, 10, 0) >= 0.75);
+}
+
 TEST(TargetPicker, MostTargetsFailing_StayInUse) {
   Use(MakeView({{"north", 4}}));
   for (size_t row = 0; row < 3; ++row) {
