Large fleets hear of the store's changes from one daemon a zone

Change: above 24 daemons, those of a zone follow the first of them in a fixed order that is heard and has the store (ChangeRelay, RelayedWatch): it keeps the newest changes and tells them over TCP on the peer port (FlatBuffers, change_relay.fbs). Whoever loses it, asks for changes that are not kept, or learns from heartbeats that others are ahead, watches the store itself for 8 s. Below 24 daemons nothing changes.

--- a/modules/gg_core/gg_core.h
+++ b/modules/gg_core/gg_core.h
@@ -15,6 +15,7 @@
 #include "gg_core/event.h"
 #include "gg_core/hash.h"
 #include "gg_core/host_id.h"
+#include "gg_core/key_value.h"
 #include "gg_core/random.h"
 #include "gg_core/system_inputs.h"
 #include "gg_core/time.h"
--- a/modules/gg_entry/key_value.h
+++ b/modules/gg_core/key_value.h
@@ -1,5 +1,5 @@
-#ifndef GG_ENTRY_KEY_VALUE_H_
-#define GG_ENTRY_KEY_VALUE_H_
+#ifndef GG_CORE_KEY_VALUE_H_
+#define GG_CORE_KEY_VALUE_H_
 
 #include <cstdint>
 #include <optional>
@@ -20,6 +20,9 @@
   std::vector<KeyValueItem> items;
   uint64_t store_revision = 0;  // as of which the items stand
   bool has_more = false;        // of a read: ask again after the last key
+  /** Told by another daemon: says nothing about the store's own answers, and
+      changes that come together were gathered there. */
+  bool is_relayed = false;
 };
 
 /** A change that is made as a whole, without a condition. */
@@ -31,4 +34,4 @@
 
 }  // namespace greengage
 
-#endif  // GG_ENTRY_KEY_VALUE_H_
+#endif  // GG_CORE_KEY_VALUE_H_
--- a/modules/gg_entry/entry_daemon.cc
+++ b/modules/gg_entry/entry_daemon.cc
@@ -5,11 +5,13 @@
 
 #include "absl/strings/str_cat.h"
 #include "gg_core/system_inputs.h"
+#include "gg_entry/change_relay.h"
 #include "gg_entry/entry_traffic.h"
 #include "gg_entry/fleet_control.h"
 #include "gg_entry/heartbeat_exchange.h"
 #include "gg_entry/http_listener.h"
 #include "gg_entry/lookup_responder.h"
+#include "gg_entry/relayed_watch.h"
 #include "gg_entry/store_sync.h"
 #include "gg_insight/event_log.h"
 #include "gg_insight/metrics.h"
@@ -96,9 +98,10 @@
                                            const SessionRequest& request) {
                                       AnswerDirectory(session, request);
                                     })),
-        store(&io, platform.open_store(&io, settings.store_address),
-              platform.decode_item, {.self = self, .seed = RandomSeed()},
-              [this](FleetEvent event) { OnStoreEvent(std::move(event)); }),
+        relay(&io, {.ip = settings.ip, .port = settings.first_peer_port}),
+        watch(&io, {}, platform.open_store(&io, settings.store_address)),
+        store(&io, watch.Calls(), platform.decode_item,
+              {.self = self, .seed = RandomSeed()}, MakeStoreHooks()),
         ticker(io),
         signals(io, SIGTERM, SIGINT, SIGHUP),
         control(MakeControlOptions()) {}
@@ -115,12 +118,22 @@
       asio::post(io, [this, view = std::move(view)] {
         heartbeats.SetPeers(view->near_peers, view->far_peers);
         heartbeats.SetEvacuated(view->evacuated);
+        watch.SetRelay(view->relay_address);
         traffic.SetView(view);
       });
     };
     return options;
   }
 
+  StoreSync::Hooks MakeStoreHooks() {
+    return {
+        .on_event =
+            [this](FleetEvent event) { OnStoreEvent(std::move(event)); },
+        .on_read = [this](uint64_t revision) { relay.Reset(revision); },
+        .on_changes =
+            [this](const KeyValueRead& changes) { relay.Publish(changes); }};
+  }
+
   void OnStoreEvent(FleetEvent event) {
     if (const auto* reachable = std::get_if<StoreReachable>(&event)) {
       heartbeats.SetStoreReachable(reachable->is_reachable);
@@ -188,6 +201,7 @@
     if (status.ok()) status = ready.Start();
     if (status.ok()) status = directory.Start();
     if (status.ok()) status = heartbeats.Start();
+    if (status.ok()) status = relay.Start();
     if (!status.ok()) return status;
     store.Start();
     WaitForSignal();
@@ -289,6 +303,8 @@
   HttpListener front;
   HttpListener ready;
   HttpListener directory;
+  ChangeRelay relay;
+  RelayedWatch watch;
   StoreSync store;
   asio::steady_timer ticker;
   asio::signal_set signals;
--- a/modules/gg_entry/entry_platform.h
+++ b/modules/gg_entry/entry_platform.h
@@ -6,8 +6,8 @@
 #include <string>
 
 #include "absl/status/statusor.h"
+#include "gg_core/key_value.h"
 #include "gg_entry/entry_settings.h"
-#include "gg_entry/key_value.h"
 #include "gg_entry/message_codec.h"
 #include "gg_fleet/fleet_event.h"
 #include "gg_store/asio.h"
--- a/modules/gg_entry/store_sync.cc
+++ b/modules/gg_entry/store_sync.cc
@@ -29,12 +29,12 @@
                      std::function<std::optional<FleetEvent>(
                          const std::string&, const std::optional<std::string>&)>
                          decode_item,
-                     Options options, EventHook on_event)
+                     Options options, Hooks hooks)
     : context_(context),
       store_(std::move(store)),
       decode_item_(std::move(decode_item)),
       options_(std::move(options)),
-      on_event_(std::move(on_event)),
+      hooks_(std::move(hooks)),
       random_(options_.seed) {}
 
 void StoreSync::Start() {
@@ -90,7 +90,7 @@
   // A watch that began during the outage may wait on a dead connection.
   if (status.ok() && !is_reachable_) store_.cancel_watch();
   is_reachable_ = status.ok();
-  on_event_(StoreReachable{status.ok(), Message(status)});
+  hooks_.on_event(StoreReachable{status.ok(), Message(status)});
 }
 
 Duration StoreSync::Pause(int failures) {
@@ -109,7 +109,7 @@
   if (item.revision <= newest) return;  // told before
   newest = item.revision;
   if (!item.value) revisions_.erase(item.key);
-  on_event_(*event);
+  hooks_.on_event(*event);
 }
 
 asio::awaitable<bool> StoreSync::ReadAll() {
@@ -127,7 +127,8 @@
     after = page->items.back().key;
   }
   cursor_ = first_revision;
-  on_event_(std::move(snapshot));
+  if (hooks_.on_read) hooks_.on_read(first_revision);
+  hooks_.on_event(std::move(snapshot));
   co_return true;
 }
 
@@ -154,7 +155,8 @@
     const auto changes = co_await store_.watch(cursor_, options_.watch_wait);
     if (changes.status().code() == absl::StatusCode::kOutOfRange) co_return;
     if (absl::IsCancelled(changes.status())) continue;  // by this daemon
-    Report(changes.status());
+    const bool is_relayed = changes.ok() && changes->is_relayed;
+    if (!is_relayed) Report(changes.status());
     if (!changes.ok()) {
       co_await WaitForStore(failures++);
       continue;
@@ -162,7 +164,10 @@
     failures = 0;
     for (const KeyValueItem& item : changes->items) Deliver(item, nullptr);
     cursor_ = std::max(cursor_, changes->store_revision);
-    if (!changes->items.empty()) co_await SleepFor(options_.gather);
+    if (hooks_.on_changes) hooks_.on_changes(*changes);
+    if (!changes->items.empty() && !is_relayed) {
+      co_await SleepFor(options_.gather);
+    }
   }
 }
 
--- a/modules/gg_entry/store_sync.h
+++ b/modules/gg_entry/store_sync.h
@@ -43,14 +43,20 @@
     Duration longest_wait = std::chrono::seconds(3);
   };
 
-  /** Called with what was learnt. */
-  using EventHook = std::function<void(FleetEvent event)>;
+  struct Hooks {
+    /** Called with what was learnt. */
+    std::function<void(FleetEvent event)> on_event;
+    /** Everything was read as of this revision; may be left out. */
+    std::function<void(uint64_t revision)> on_read;
+    /** These changes came since; may be left out. */
+    std::function<void(const KeyValueRead& changes)> on_changes;
+  };
 
   StoreSync(asio::io_context* context, KeyValueStore store,
             std::function<std::optional<FleetEvent>(
                 const std::string&, const std::optional<std::string>&)>
                 decode_item,
-            Options options, EventHook on_event);
+            Options options, Hooks hooks);
 
   //==============================================================================
   /** Starts following and registering. */
@@ -86,7 +92,7 @@
                                           const std::optional<std::string>&)>
       decode_item_;
   Options options_;
-  EventHook on_event_;
+  Hooks hooks_;
   Random random_;
   uint64_t cursor_ = 0;
   std::map<std::string, uint64_t> revisions_;  // by key, newest delivered
--- a/modules/gg_fleet/fleet_state.cc
+++ b/modules/gg_fleet/fleet_state.cc
@@ -70,6 +70,7 @@
           .serving = members_.Serving(now),
           .near_peers = members_.PeerAddresses(true),
           .far_peers = members_.PeerAddresses(false),
+          .relay_address = members_.RelayAddress(now),
           .sender_count = members_.SenderCount(now)};
 }
 
--- a/modules/gg_fleet/fleet_view.h
+++ b/modules/gg_fleet/fleet_view.h
@@ -31,6 +31,8 @@
   // Where heartbeats go: daemons of the own region, and of others.
   std::vector<std::string> near_peers;
   std::vector<std::string> far_peers;
+  /** The daemon to hear of the store's changes from; empty: the store. */
+  std::string relay_address;
   /** Upper bound on the daemons that may be sending now; at least 1. */
   int sender_count = 1;
 };
--- a/modules/gg_fleet/member_registry.cc
+++ b/modules/gg_fleet/member_registry.cc
@@ -83,7 +83,22 @@
         (IsServing(row, now) ? 2U : 0U) | (CountsAsSender(row, now) ? 1U : 0U);
     fingerprint = Hash64(name, fingerprint + row.member.incarnation) + state;
   }
-  return fingerprint;
+  return Hash64(RelayAddress(now), fingerprint);
+}
+
+std::string MemberRegistry::RelayAddress(TimePoint now) const {
+  if (rows_.size() + 1 <= options_.small_fleet) return {};
+  uint64_t least = Hash64(options_.self.name);
+  std::string address;
+  for (const auto& [name, row] : rows_) {
+    const bool can_relay = row.member.zone == options_.self.zone &&
+                           row.in_store && !row.is_leaving &&
+                           row.store_reachable && IsHeard(row, now);
+    if (!can_relay || Hash64(name) >= least) continue;
+    least = Hash64(name);
+    address = row.member.peer_address;
+  }
+  return address;
 }
 
 std::set<std::string> MemberRegistry::ListedNames() const {
--- a/modules/gg_fleet/member_registry.h
+++ b/modules/gg_fleet/member_registry.h
@@ -31,6 +31,10 @@
     /** The same for daemons of other regions, which are sent a quarter of the
         heartbeats. */
     Duration suspect_far_after = std::chrono::milliseconds(4500);
+    /** Daemons above which those of a zone hear of the store's changes from one
+        of them. Below it each watches the store itself: that saves a step, and
+        costs less than a hundredth of what the calls cost in a large fleet. */
+    size_t small_fleet = 24;
     /** How long a daemon that left the store still counts as a sender: longer
         than any request lasts. */
     Duration sender_memory = std::chrono::seconds(10);
@@ -69,7 +73,14 @@
   /** Returns where heartbeats go: daemons of this one's region, and others. */
   std::vector<std::string> PeerAddresses(bool own_region) const;
 
-  /** Returns a number that changes when Serving() or SenderCount() does. */
+  /** Returns the daemon of this one's zone to hear of the store's changes from;
+      empty when this one is to watch the store itself. It is the first of those
+      that are heard and have the store, in an order that is the same for all,
+      so that no two daemons listen to each other. */
+  std::string RelayAddress(TimePoint now) const;
+
+  /** Returns a number that changes when Serving(), SenderCount() or
+      RelayAddress() does. */
   uint64_t Fingerprint(TimePoint now) const;
 
   /** Returns an upper bound on the daemons that may be sending, this one
--- /dev/null
+++ b/modules/gg_wire/change_relay_codec.cc
@@ -0,0 +1,94 @@
+#include "gg_wire/change_relay_codec.h"
+
+#include <vector>
+
+#include "gg_core/errors.h"
+#include "gg_wire/frame_codec.h"
+#include "gg_wire/generated/change_relay_generated.h"
+
+namespace greengage {
+namespace {
+
+constexpr char kRequestIdentifier[] = "GGCQ";
+constexpr char kChangesIdentifier[] = "GGCR";
+
+template <typename Root>
+std::string Finish(flatbuffers::FlatBufferBuilder* builder,
+                   flatbuffers::Offset<Root> root, const char* identifier) {
+  builder->Finish(root, identifier);
+  return WithFramePrefix(
+      {reinterpret_cast<const char*>(builder->GetBufferPointer()),
+       builder->GetSize()});
+}
+
+/** Returns the verified root of a frame, or an error that names the peer. */
+template <typename Root>
+absl::StatusOr<const Root*> Verified(std::string_view frame,
+                                     const char* identifier,
+                                     std::string_view peer) {
+  const auto* bytes = reinterpret_cast<const uint8_t*>(frame.data());
+  flatbuffers::Verifier verifier(bytes, frame.size());
+  if (!verifier.VerifyBuffer<Root>(identifier)) {
+    return StepError(absl::StatusCode::kInvalidArgument, Step::kPeerFrame, peer,
+                     "the frame is not of the relay of changes");
+  }
+  return flatbuffers::GetRoot<Root>(bytes);
+}
+
+}  // namespace
+
+std::string EncodeRelayRequest(uint64_t after) {
+  flatbuffers::FlatBufferBuilder builder;
+  return Finish(&builder, wire::CreateRelayRequest(builder, after),
+                kRequestIdentifier);
+}
+
+absl::StatusOr<uint64_t> DecodeRelayRequest(std::string_view frame,
+                                            std::string_view peer) {
+  const auto root =
+      Verified<wire::RelayRequest>(frame, kRequestIdentifier, peer);
+  if (!root.ok()) return root.status();
+  return (*root)->after();
+}
+
+std::string EncodeRelayedChanges(const KeyValueRead& changes) {
+  flatbuffers::FlatBufferBuilder builder;
+  std::vector<flatbuffers::Offset<wire::RelayedItem>> items;
+  items.reserve(changes.items.size());
+  for (const KeyValueItem& item : changes.items) {
+    const std::string value = item.value.value_or(std::string());
+    const auto key = builder.CreateString(item.key);
+    const auto bytes = builder.CreateVector(
+        reinterpret_cast<const uint8_t*>(value.data()), value.size());
+    items.push_back(wire::CreateRelayedItem(
+        builder, key, bytes, !item.value.has_value(), item.revision));
+  }
+  const auto rows = builder.CreateVector(items);
+  return Finish(
+      &builder,
+      wire::CreateRelayedChanges(builder, changes.store_revision, rows),
+      kChangesIdentifier);
+}
+
+absl::StatusOr<KeyValueRead> DecodeRelayedChanges(std::string_view frame,
+                                                  std::string_view peer) {
+  const auto root =
+      Verified<wire::RelayedChanges>(frame, kChangesIdentifier, peer);
+  if (!root.ok()) return root.status();
+  KeyValueRead changes{.store_revision = (*root)->store_revision(),
+                       .is_relayed = true};
+  if ((*root)->items() == nullptr) return changes;
+  for (const wire::RelayedItem* row : *(*root)->items()) {
+    KeyValueItem item{.key = row->key()->str(), .revision = row->revision()};
+    if (!row->is_deleted()) {
+      item.value.emplace();
+      if (row->value() != nullptr) {
+        item.value->assign(row->value()->begin(), row->value()->end());
+      }
+    }
+    changes.items.push_back(std::move(item));
+  }
+  return changes;
+}
+
+}  // namespace greengage
--- a/modules/gg_wire/frame_codec.cc
+++ b/modules/gg_wire/frame_codec.cc
@@ -232,6 +232,17 @@
 
 }  // namespace
 
+std::string WithFramePrefix(std::string_view frame) {
+  const auto size = static_cast<uint32_t>(frame.size());
+  std::string bytes;
+  bytes.reserve(kFramePrefixBytes + frame.size());
+  for (const unsigned shift : {24U, 16U, 8U, 0U}) {
+    bytes.push_back(static_cast<char>((size >> shift) & 0xffU));
+  }
+  bytes.append(frame);
+  return bytes;
+}
+
 std::string EncodeFrame(const PeerFrame& frame) {
   FlatBufferBuilder builder;
   const EncodedBody body = std::visit(BodyEncoder{&builder}, frame.message);
@@ -240,14 +251,9 @@
       frame.from.address.c_str(), frame.from.incarnation, body.type,
       body.offset);
   wire::FinishFrameBuffer(builder, root);
-  const uint32_t size = builder.GetSize();
-  std::string bytes;
-  bytes.reserve(kFramePrefixBytes + size);
-  for (const unsigned shift : {24U, 16U, 8U, 0U}) {
-    bytes.push_back(static_cast<char>((size >> shift) & 0xffU));
-  }
-  bytes.append(reinterpret_cast<const char*>(builder.GetBufferPointer()), size);
-  return bytes;
+  return WithFramePrefix(
+      {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+       builder.GetSize()});
 }
 
 absl::StatusOr<size_t> DecodeFramePrefix(std::string_view prefix,
--- /dev/null
+++ b/tests/entry/change_relay_test.cc
@@ -0,0 +1,235 @@
+#include "gg_entry/change_relay.h"
+
+#include "entry/entry_fixtures.h"
+#include "gg_entry/relayed_watch.h"
+#include "gg_wire/change_relay_codec.h"
+#include "gg_wire/frame_codec.h"
+#include "unit/test_support.h"
+
+namespace greengage {
+namespace {
+
+KeyValueRead Change(const std::string& key, uint64_t revision) {
+  return {.items = {{key, "value of " + key, revision}},
+          .store_revision = revision};
+}
+
+TEST_GROUP(ChangeHistory) {
+  ChangeHistory history{ChangeHistory::Options{.most_bytes = 100}};
+};
+
+TEST(ChangeHistory, BeforeTheFirstRead_HasNothingToTell) {
+  history.Add(Change("a", 5));
+  CHECK_FALSE(history.After(5).has_value());
+}
+
+TEST(ChangeHistory, LaterChanges_AreToldInOrder) {
+  history.Reset(10);
+  history.Add(Change("a", 11));
+  history.Add(Change("b", 12));
+  LONGS_EQUAL(2, history.After(10)->items.size());
+  const KeyValueRead changes = *history.After(11);
+  LONGS_EQUAL(1, changes.items.size());
+  STRCMP_EQUAL("b", changes.items[0].key.c_str());
+  LONGS_EQUAL(12, changes.store_revision);
+  LONGS_EQUAL(0, history.After(12)->items.size());
+}
+
+TEST(ChangeHistory, WhatIsNoLongerKept_IsNotPassedOffAsNothing) {
+  history.Reset(10);
+  for (uint64_t i = 11; i < 40; ++i) history.Add(Change("key", i));
+  CHECK_FALSE(history.After(10).has_value());
+  CHECK_FALSE(history.After(20).has_value());
+  CHECK_TRUE(history.After(39).has_value());
+  CHECK_TRUE(history.After(37).has_value());
+}
+
+TEST_GROUP(ChangeRelayCodec){};
+
+TEST(ChangeRelayCodec, DeletedAndEmptyValues_AreKeptApart) {
+  KeyValueRead read{.items = {{"gone", std::nullopt, 7}, {"empty", "", 8}},
+                    .store_revision = 9};
+  const std::string bytes = EncodeRelayedChanges(read);
+  const auto decoded = DecodeRelayedChanges(
+      std::string_view(bytes).substr(kFramePrefixBytes), "peer");
+  CHECK_TRUE(decoded.ok());
+  CHECK_FALSE(decoded->items[0].value.has_value());
+  CHECK_TRUE(decoded->items[1].value.has_value());
+  LONGS_EQUAL(9, decoded->store_revision);
+  CHECK_TRUE(decoded->is_relayed);
+}
+
+TEST(ChangeRelayCodec, BrokenFrames_AreRefused) {
+  const std::string bytes = EncodeRelayedChanges(Change("key", 7));
+  const std::string frame = bytes.substr(kFramePrefixBytes);
+  CHECK_FALSE(DecodeRelayRequest(frame, "peer").ok());
+  for (size_t length = 0; length < frame.size() / 2; ++length) {
+    CHECK_FALSE(DecodeRelayedChanges(frame.substr(0, length), "peer").ok());
+  }
+}
+
+TEST_GROUP(MemberRelay) {
+  MemberRegistry Registry(const std::string& self, size_t small_fleet) {
+    return MemberRegistry(
+        {.self = MakeMember(self), .small_fleet = small_fleet});
+  }
+  void Hear(MemberRegistry * registry, const std::string& name,
+            bool has_store) {
+    registry->Put(MakeMember(name), At(0));
+    registry->Heard(
+        {.name = name, .incarnation = 7, .store_reachable = has_store}, At(0));
+  }
+  const std::vector<std::string> names{"a", "b", "c", "d"};
+};
+
+TEST(MemberRelay, DaemonsOfAZone_HearFromOneThatWatchesItself) {
+  std::set<std::string> relays;
+  int watchers = 0;
+  for (const std::string& self : names) {
+    MemberRegistry registry = Registry(self, 3);
+    for (const std::string& other : names) {
+      if (other != self) Hear(&registry, other, true);
+    }
+    const std::string relay = registry.RelayAddress(At(0.5));
+    if (relay.empty()) ++watchers;
+    if (!relay.empty()) relays.insert(relay);
+  }
+  LONGS_EQUAL(1, watchers);
+  LONGS_EQUAL(1, relays.size());
+}
+
+TEST(MemberRelay, DaemonWithoutTheStoreOrSilent_IsNotListenedTo) {
+  for (const std::string& self : names) {
+    MemberRegistry registry = Registry(self, 3);
+    for (const std::string& other : names) {
+      if (other != self) Hear(&registry, other, false);
+    }
+    STRCMP_EQUAL("", registry.RelayAddress(At(0.5)).c_str());
+    for (const std::string& other : names) {
+      if (other != self) Hear(&registry, other, true);
+    }
+    STRCMP_EQUAL("", registry.RelayAddress(At(5)).c_str());
+  }
+}
+
+TEST(MemberRelay, SmallFleet_WatchesTheStore) {
+  MemberRegistry registry = Registry("a", 24);
+  for (const std::string name : {"b", "c", "d"}) Hear(&registry, name, true);
+  STRCMP_EQUAL("", registry.RelayAddress(At(0.5)).c_str());
+}
+
+/** A relay and a listener on loopback. */
+TEST_GROUP(ChangeRelay) {
+  static constexpr uint16_t kPort = 17911;
+  asio::io_context io;
+  int store_watches = 0;
+  bool is_watch_cancelled = false;
+  std::unique_ptr<ChangeRelay> relay;
+  std::unique_ptr<RelayedWatch> watch;
+  std::vector<absl::StatusOr<KeyValueRead>> told;
+
+  void setup() override {
+    relay = std::make_unique<ChangeRelay>(
+        &io, ChangeRelay::Options{.ip = "127.0.0.1", .port = kPort});
+    CHECK_TRUE(relay->Start().ok());
+    KeyValueStore store;
+    store.watch =
+        [this](uint64_t,
+               Duration) -> asio::awaitable<absl::StatusOr<KeyValueRead>> {
+      ++store_watches;
+      co_return KeyValueRead{.store_revision = 99};
+    };
+    store.cancel_watch = [this] { is_watch_cancelled = true; };
+    watch = std::make_unique<RelayedWatch>(&io, RelayedWatch::Options{}, store);
+    watch->SetRelay(absl::StrCat("127.0.0.1:", kPort));
+  }
+
+  void Watch(uint64_t after) {
+    asio::co_spawn(
+        io,
+        [this, after]() -> asio::awaitable<void> {
+          told.push_back(co_await watch->Watch(after, std::chrono::seconds(1)));
+        },
+        asio::detached);
+  }
+  void RunFor(int milliseconds) {
+    io.restart();
+    io.run_for(std::chrono::milliseconds(milliseconds));
+  }
+};
+
+TEST(ChangeRelay, Changes_AreToldWithoutACallOfTheStore) {
+  relay->Reset(10);
+  relay->Publish(Change("missed", 11));
+  Watch(10);
+  RunFor(100);
+  LONGS_EQUAL(1, told.size());
+  STRCMP_EQUAL("missed", told[0]->items.at(0).key.c_str());
+  CHECK_TRUE(told[0]->is_relayed);
+  Watch(11);
+  RunFor(50);
+  LONGS_EQUAL(1, told.size());
+  relay->Publish(Change("later", 12));
+  RunFor(50);
+  LONGS_EQUAL(2, told.size());
+  STRCMP_EQUAL("later", told[1]->items.at(0).key.c_str());
+  LONGS_EQUAL(0, store_watches);
+}
+
+TEST(ChangeRelay, HistoryThatIsGone_IsAskedOfTheStore) {
+  relay->Reset(10);
+  Watch(5);
+  RunFor(100);
+  LONGS_EQUAL(1, store_watches);
+  LONGS_EQUAL(99, told.at(0)->store_revision);
+}
+
+TEST(ChangeRelay, ConnectionThatEnds_IsFollowedByTheStoreForAWhile) {
+  relay->Reset(10);
+  Watch(10);
+  RunFor(50);
+  relay->Reset(20);  // everyone is disconnected
+  RunFor(50);
+  LONGS_EQUAL(1, store_watches);
+  Watch(10);
+  RunFor(50);
+  LONGS_EQUAL(2, store_watches);
+}
+
+// A relay that is cut off, or frozen, says nothing; that others have seen
+// changes tells so, and the watch is broken off.
+TEST(ChangeRelay, SilentRelay_IsLeftWhenTheWatchIsBrokenOff) {
+  relay->Reset(10);
+  Watch(10);
+  RunFor(50);
+  watch->Cancel();
+  RunFor(50);
+  LONGS_EQUAL(1, store_watches);
+  CHECK_FALSE(is_watch_cancelled);
+  LONGS_EQUAL(0, relay->listeners());
+}
+
+TEST(ChangeRelay, RelayThatIsNoLongerTheOne_IsLeft) {
+  relay->Reset(10);
+  Watch(10);
+  RunFor(50);
+  watch->SetRelay("");
+  RunFor(50);
+  LONGS_EQUAL(1, store_watches);
+}
+
+TEST(ChangeRelay, GarbageFromAListener_EndsItsConnectionOnly) {
+  relay->Reset(10);
+  asio::ip::tcp::socket socket(io);
+  socket.connect({asio::ip::make_address("127.0.0.1"), kPort});
+  const std::string garbage = "GET / HTTP/1.1\r\n\r\n";
+  socket.send(asio::buffer(garbage));
+  RunFor(50);
+  LONGS_EQUAL(0, relay->listeners());
+  Watch(10);
+  RunFor(50);
+  LONGS_EQUAL(1, relay->listeners());
+}
+
+}  // namespace
+}  // namespace greengage
--- a/tests/entry/store_sync_test.cc
+++ b/tests/entry/store_sync_test.cc
@@ -11,6 +11,7 @@
   asio::io_context io;
   std::vector<FleetEvent> events;
   int watches = 0;
+  int relayed = 0;  // watches that return at once with another daemon's word
   int reads = 0;
   bool is_down = false;
   asio::steady_timer waiting{io};  // the watch that waits
@@ -18,6 +19,12 @@
 
   asio::awaitable<absl::StatusOr<KeyValueRead>> Watch() {
     ++watches;
+    if (relayed > 0) {
+      --relayed;
+      co_return KeyValueRead{.items = {{"key", "value", 30}},
+                             .store_revision = 30,
+                             .is_relayed = true};
+    }
     if (is_down) co_return absl::UnavailableError("down");
     ErrorCode error;
     waiting.expires_after(std::chrono::seconds(60));
@@ -59,7 +66,9 @@
           return std::optional<FleetEvent>();
         },
         StoreSync::Options{.self = MakeMember("self")},
-        [this](FleetEvent event) { events.push_back(std::move(event)); });
+        StoreSync::Hooks{.on_event = [this](FleetEvent event) {
+          events.push_back(std::move(event));
+        }});
     sync->Start();
   }
 
@@ -103,6 +112,22 @@
   LONGS_EQUAL(0, Unreachable());
 }
 
+// Another daemon's word comes gathered already, and does not tell whether the
+// store answers this one.
+TEST(StoreSync, RelayedChanges_AreTakenAtOnceAndSayNothingOfTheStore) {
+  is_down = true;
+  Start();
+  RunFor(std::chrono::milliseconds(100));
+  LONGS_EQUAL(0, watches);
+  is_down = false;
+  relayed = 5;
+  RunFor(std::chrono::milliseconds(900));
+  LONGS_EQUAL(0, relayed);
+  is_down = true;
+  RunFor(std::chrono::milliseconds(1500));
+  CHECK_TRUE(Unreachable() > 0);
+}
+
 TEST(StoreSync, WatchOfAnOutage_IsBrokenOffAtTheFirstAnswer) {
   Start();
   RunFor(std::chrono::milliseconds(200));
