Tell a request's way from its id, and keep beliefs in a flooded log

Cause: E2xx to E4xx lines, without which no failed request can be explained, shared one bound of 400 lines a second with the lines on requests, and were left out with them under load; what was left out was counted in one number, and lines for which a slow reader left no room were not counted at all, against what the header said.

Change: LineLimiter gives lines on requests a bound of their own and counts by kind, also what the queue had no room for. greengagectl request ID FILES shows a request's lines, what its daemon believed when it ended and what others noted of its targets; greengagectl events lists events by kind and time. Torn and foreign lines are counted on standard error.

The limiter's processor time was not measured apart.

--- a/modules/gg_ctl/ctl_app.cc
+++ b/modules/gg_ctl/ctl_app.cc
@@ -1,6 +1,7 @@
 #include "gg_ctl/ctl_app.h"
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <ctime>
 #include <fstream>
 #include <iomanip>
@@ -14,6 +15,8 @@
 #include "gg_core/hash.h"
 #include "gg_ctl/document_editor.h"
 #include "gg_ctl/http_get.h"
+#include "gg_ctl/log_line.h"
+#include "gg_ctl/request_history.h"
 #include "gg_ctl/target_edit.h"
 #include "gg_document/document_parser.h"
 #include "gg_document/section_text.h"
@@ -39,6 +42,11 @@
   std::string target;
   std::string service;
   std::string client;
+  std::vector<std::string> logs;
+  std::string request;
+  std::string event;
+  std::string from;
+  std::string until;
   bool as_json = false;
 };
 
@@ -148,6 +156,61 @@
   return CtlExit::kOk;
 }
 
+/** Reads the daemons' lines out of log files. Lines that are torn or of other
+    programs are left out and counted on standard error. */
+absl::StatusOr<std::vector<LogLine>> ReadLogs(
+    const std::vector<std::string>& files) {
+  std::vector<LogLine> lines;
+  size_t foreign = 0;
+  for (const std::string& file : files) {
+    const absl::StatusOr<std::string> text = ReadFile(file);
+    if (!text.ok()) return text.status();
+    std::istringstream stream(*text);
+    for (std::string line; std::getline(stream, line);) {
+      auto parsed = ParseLogLine(line, file);
+      if (parsed) {
+        lines.push_back(*std::move(parsed));
+      } else {
+        ++foreign;
+      }
+    }
+  }
+  if (foreign > 0) {
+    std::cerr << "greengagectl: " << foreign
+              << " lines are torn or not a daemon's; left out\n";
+  }
+  return lines;
+}
+
+CtlExit Request(const CtlOptions& options) {
+  auto lines = ReadLogs(options.logs);
+  if (!lines.ok()) return Report(lines.status());
+  const auto history = FindRequest(*std::move(lines), options.request);
+  if (!history.ok()) return Report(history.status());
+  std::cout << Describe(*history);
+  return CtlExit::kOk;
+}
+
+CtlExit Events(const CtlOptions& options) {
+  auto lines = ReadLogs(options.logs);
+  if (!lines.ok()) return Report(lines.status());
+  std::stable_sort(
+      lines->begin(), lines->end(),
+      [](const LogLine& a, const LogLine& b) { return a.time < b.time; });
+  for (const LogLine& line : *lines) {
+    const bool is_of_kind = options.event.empty() ||
+                            line.event == options.event ||
+                            line.name == options.event;
+    const bool is_in_time =
+        (options.from.empty() || line.time >= options.from) &&
+        (options.until.empty() || line.time < options.until);
+    if (is_of_kind && is_in_time) {
+      std::cout << line.source << "  " << line.text << "\n";
+    }
+  }
+  return CtlExit::kOk;
+}
+
 CtlExit Check(const CtlOptions& options) {
   const absl::StatusOr<std::string> text = ReadFile(options.file);
   if (!text.ok()) return Report(text.status());
@@ -373,6 +436,19 @@
           [=] { return Explain(*options); });
   explain->add_option("service", options->service)->required();
   explain->add_option("client", options->client)->required();
+  CLI::App* request =
+      add("request", "Tell a request's way from its id, out of log files",
+          [=] { return Request(*options); });
+  request->add_option("id", options->request)->required();
+  CLI::App* events = add("events", "List events out of log files",
+                         [=] { return Events(*options); });
+  events->add_option("--event", options->event, "Number (E610) or name");
+  events->add_option("--from", options->from,
+                     "From this time on, as it stands in the lines");
+  events->add_option("--until", options->until, "Before this time");
+  for (CLI::App* command : {request, events}) {
+    command->add_option("logs", options->logs, "Log files")->required();
+  }
   for (CLI::App* command : {status, explain}) {
     command
         ->add_option("--daemons", options->daemons,
--- a/modules/gg_ctl/gg_ctl.h
+++ b/modules/gg_ctl/gg_ctl.h
@@ -5,13 +5,15 @@
     gg_ctl: the operators' tool.
 
     Purpose: reads, checks, edits and audits the steering document in the store,
-    and asks daemons for their state.
+    asks daemons for their state, and tells a request's way out of logs.
     Depends on: gg_core, gg_document, gg_store.
 */
 
 #include "gg_ctl/ctl_app.h"
 #include "gg_ctl/document_editor.h"
 #include "gg_ctl/http_get.h"
+#include "gg_ctl/log_line.h"
+#include "gg_ctl/request_history.h"
 #include "gg_ctl/target_edit.h"
 
 #endif  // GG_CTL_GG_CTL_H_
--- /dev/null
+++ b/modules/gg_ctl/log_line.cc
@@ -0,0 +1,66 @@
+#include "gg_ctl/log_line.h"
+
+#include <regex>
+
+#include "absl/strings/numbers.h"
+
+namespace greengage {
+namespace {
+
+/** Time, program, level, event number and name, fields. */
+const std::regex& LinePattern() {
+  static const std::regex kPattern(
+      R"((\d{4}-\d\d-\d\dT(\d\d):(\d\d):(\d\d\.\d+)) \S+ \w+ (E\d+) (\w+)(.*))");
+  return kPattern;
+}
+
+/** `key=value` or `key="a value"`. */
+const std::regex& FieldPattern() {
+  static const std::regex kPattern(R"re((\w+)=("([^"]*)"|\S*))re");
+  return kPattern;
+}
+
+double Number(const std::string& text) {
+  double value = 0;
+  // The pattern lets digits through only.
+  return absl::SimpleAtod(text, &value) ? value : 0;
+}
+
+}  // namespace
+
+std::string LogLine::field(const std::string& key) const {
+  const auto found = fields.find(key);
+  return found == fields.end() ? std::string() : found->second;
+}
+
+std::optional<LogLine> ParseLogLine(std::string_view line,
+                                    std::string_view source) {
+  std::cmatch match;
+  if (!std::regex_search(line.data(), line.data() + line.size(), match,
+                         LinePattern())) {
+    return std::nullopt;
+  }
+  LogLine parsed;
+  std::string before = match.prefix().str();
+  while (!before.empty() && before.back() == ' ') before.pop_back();
+  parsed.source = before.empty() ? std::string(source) : before;
+  // A collector may put a time of its own first; the host is the last word.
+  const size_t word = parsed.source.find_last_of(' ');
+  if (!before.empty() && word != std::string::npos) {
+    parsed.source = parsed.source.substr(word + 1);
+  }
+  parsed.time = match[1];
+  parsed.seconds =
+      Number(match[2]) * 3600 + Number(match[3]) * 60 + Number(match[4]);
+  parsed.event = match[5];
+  parsed.name = match[6];
+  parsed.text = match[0];
+  const std::string rest = match[7];
+  for (std::sregex_iterator it(rest.begin(), rest.end(), FieldPattern()), end;
+       it != end; ++it) {
+    parsed.fields[(*it)[1]] = (*it)[3].matched ? (*it)[3] : (*it)[2];
+  }
+  return parsed;
+}
+
+}  // namespace greengage
--- a/modules/gg_insight/event_log.cc
+++ b/modules/gg_insight/event_log.cc
@@ -1,6 +1,5 @@
 #include "gg_insight/event_log.h"
 
-#include <atomic>
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
@@ -16,6 +15,9 @@
 #include <boost/make_shared.hpp>
 #include <chrono>
 #include <iostream>
+#include <string>
+
+#include "gg_insight/line_limiter.h"
 
 namespace greengage {
 namespace {
@@ -31,57 +33,54 @@
 
 namespace sinks = boost::log::sinks;
 
+LineLimiter& ProgramLimiter() {
+  static LineLimiter limiter;
+  return limiter;
+}
+
 /** Lines that wait for a slow reader of standard output; later ones go. */
 constexpr size_t kQueuedLines = 2000;
 
+/** What happens when the queue is full: the line is left out and counted. The
+    names are the library's. */
+struct CountOnOverflow {
+  template <typename Lock>
+  static bool on_overflow(const boost::log::record_view&, Lock&) {
+    ProgramLimiter().NoteDropped(Event::kLinesDropped);
+    return false;
+  }
+  static void on_queue_space_available() {}
+  static void interrupt() {}
+};
+
 using BoundedSink = sinks::asynchronous_sink<
     sinks::text_ostream_backend,
-    sinks::bounded_fifo_queue<kQueuedLines, sinks::drop_on_overflow>>;
+    sinks::bounded_fifo_queue<kQueuedLines, CountOnOverflow>>;
 
 boost::shared_ptr<BoundedSink>& ProgramSink() {
   static boost::shared_ptr<BoundedSink> sink;
   return sink;
 }
 
-/** Counts the lines of the current second. Any thread may call it. */
-class LineLimiter {
- public:
-  /** Sets the limit; 0 means none. */
-  void SetLimit(uint64_t lines_per_second) { limit_ = lines_per_second; }
-
-  /** Returns whether one more line may be written.
-      @param dropped  receives how many were left out in the seconds before. */
-  bool Admit(uint64_t* dropped) {
-    *dropped = 0;
-    if (limit_ == 0) return true;
-    const int64_t second =
-        std::chrono::duration_cast<std::chrono::seconds>(
-            std::chrono::steady_clock::now().time_since_epoch())
-            .count();
-    if (second_.exchange(second) != second) {
-      const uint64_t written = count_.exchange(0);
-      if (written > limit_) *dropped = written - limit_;
-    }
-    return ++count_ <= limit_;
-  }
-
- private:
-  std::atomic<uint64_t> limit_ = 0;
-  std::atomic<int64_t> second_ = 0;
-  std::atomic<uint64_t> count_ = 0;
-};
-
-LineLimiter& ProgramLimiter() {
-  static LineLimiter limiter;
-  return limiter;
-}
-
 void Write(LogLevel level, Event event, std::string_view text) {
   BOOST_LOG_SEV(ProgramLogger(), static_cast<int>(level))
       << LogLevelName(level) << " E" << static_cast<int>(event) << " "
       << EventName(event) << " " << text;
 }
 
+/** "lines=12 E620=10 E621=2"; E690 stands for lines of any kind for which a
+   slow reader left no room. */
+std::string DroppedText(const LineLimiter::Dropped& dropped) {
+  uint64_t lines = 0;
+  std::string kinds;
+  for (const auto& [event, count] : dropped) {
+    lines += count;
+    kinds += " E" + std::to_string(static_cast<int>(event)) + "=" +
+             std::to_string(count);
+  }
+  return "lines=" + std::to_string(lines) + kinds;
+}
+
 auto LineFormat(std::string_view program) {
   return expr::stream << expr::format_date_time<boost::posix_time::ptime>(
                              "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
@@ -114,7 +113,7 @@
   ProgramSink()->set_formatter(LineFormat(program));
   boost::log::core::get()->add_sink(ProgramSink());
   SetThreshold(threshold);
-  ProgramLimiter().SetLimit(lines_per_second);
+  ProgramLimiter().SetOptions({.request_lines = lines_per_second});
 }
 
 void StopBoundedLogging() {
@@ -126,11 +125,11 @@
 }
 
 void LogEvent(LogLevel level, Event event, std::string_view text) {
-  uint64_t dropped = 0;
-  const bool is_admitted = ProgramLimiter().Admit(&dropped);
-  if (dropped > 0) {
-    Write(LogLevel::kWarning, Event::kLinesDropped,
-          "lines=" + std::to_string(dropped));
+  LineLimiter::Dropped dropped;
+  const bool is_admitted =
+      ProgramLimiter().Admit(event, std::chrono::steady_clock::now(), &dropped);
+  if (!dropped.empty()) {
+    Write(LogLevel::kWarning, Event::kLinesDropped, DroppedText(dropped));
   }
   if (is_admitted) Write(level, event, text);
 }
--- a/modules/gg_insight/gg_insight.h
+++ b/modules/gg_insight/gg_insight.h
@@ -10,6 +10,7 @@
 */
 
 #include "gg_insight/event_log.h"
+#include "gg_insight/line_limiter.h"
 #include "gg_insight/metrics.h"
 
 #endif  // GG_INSIGHT_GG_INSIGHT_H_
--- /dev/null
+++ b/tests/unit/log_test.cc
@@ -0,0 +1,140 @@
+#include "gg_ctl/log_line.h"
+#include "gg_ctl/request_history.h"
+#include "gg_insight/line_limiter.h"
+#include "unit/test_support.h"
+
+namespace greengage {
+namespace {
+
+TEST_GROUP(LineLimiter) {
+  LineLimiter limiter;
+  LineLimiter::Dropped dropped;
+
+  void setup() override {
+    limiter.SetOptions({.request_lines = 10, .other_lines = 5});
+  }
+  int Admitted(Event event, int lines, double second) {
+    int count = 0;
+    for (int i = 0; i < lines; ++i) {
+      LineLimiter::Dropped now;
+      count += limiter.Admit(event, TimePoint(FromSeconds(second)), &now);
+      if (!now.empty()) dropped = now;
+    }
+    return count;
+  }
+};
+
+// What the process believes must be told while requests flood the log.
+TEST(LineLimiter, FloodOfRequests_LeavesRoomForBeliefs) {
+  LONGS_EQUAL(10, Admitted(Event::kRequestAnswered, 100, 1));
+  LONGS_EQUAL(3, Admitted(Event::kTargetUnlisted, 3, 1));
+}
+
+TEST(LineLimiter, LinesLeftOut_AreCountedByKind) {
+  Admitted(Event::kRequestAnswered, 12, 1);
+  Admitted(Event::kAttemptFailed, 3, 1);
+  limiter.NoteDropped(Event::kLinesDropped);
+  Admitted(Event::kTargetListed, 1, 2);
+  LONGS_EQUAL(3, dropped.size());
+  LONGS_EQUAL(2, dropped[Event::kRequestAnswered]);
+  LONGS_EQUAL(3, dropped[Event::kAttemptFailed]);
+  LONGS_EQUAL(1, dropped[Event::kLinesDropped]);
+}
+
+TEST(LineLimiter, NextSecond_HasRoomAgain) {
+  Admitted(Event::kRequestAnswered, 100, 1);
+  LONGS_EQUAL(10, Admitted(Event::kRequestAnswered, 100, 2));
+}
+
+constexpr char kFailed[] =
+    "2026-04-03T13:04:12.371381 greengage_entry info E601 request_failed "
+    "id=3d09 status=504 reason=time_limit target=i-1 zone=gaspe";
+
+TEST_GROUP(LogLine){};
+
+TEST(LogLine, LineOfADaemon_IsTakenApart) {
+  const auto line = ParseLogLine(kFailed, "front-1.log");
+  CHECK_TRUE(line.has_value());
+  STRCMP_EQUAL("front-1.log", line->source.c_str());
+  STRCMP_EQUAL("E601", line->event.c_str());
+  STRCMP_EQUAL("time_limit", line->field("reason").c_str());
+  DOUBLES_EQUAL(13 * 3600 + 4 * 60 + 12.371381, line->seconds, 1e-6);
+}
+
+TEST(LogLine, WhatACollectorPutsBefore_NamesTheHost) {
+  const auto line = ParseLogLine(
+      absl::StrCat("   5.9299 front-gaspe-1 ", kFailed), "all.log");
+  STRCMP_EQUAL("front-gaspe-1", line->source.c_str());
+}
+
+TEST(LogLine, QuotedValue_KeepsItsBlanks) {
+  const auto line = ParseLogLine(
+      "2026-04-03T13:04:12.3 greengage_entry info E621 attempt_failed id=1 "
+      "reason=\"connect: Connection refused\" next=try_again",
+      "x");
+  STRCMP_EQUAL("connect: Connection refused", line->field("reason").c_str());
+  STRCMP_EQUAL("try_again", line->field("next").c_str());
+}
+
+TEST(LogLine, TornAndForeignLines_AreNone) {
+  CHECK_FALSE(ParseLogLine("", "x").has_value());
+  CHECK_FALSE(ParseLogLine("kernel: eth0 up", "x").has_value());
+  CHECK_FALSE(
+      ParseLogLine(std::string(kFailed).substr(0, 40), "x").has_value());
+}
+
+TEST_GROUP(RequestHistory) {
+  std::vector<LogLine> lines;
+
+  void Add(const std::string& source, const std::string& time,
+           const std::string& text) {
+    lines.push_back(*ParseLogLine(
+        absl::StrCat("2026-04-03T13:04:", time, " greengage_entry info ", text),
+        source));
+  }
+  void setup() override {
+    Add("a", "12.4",
+        "E601 request_failed id=3d09 status=504 target=i-1 "
+        "zone=gaspe");
+    Add("a", "10.0", "E210 config_in_force version=4");
+    Add("a", "11.0", "E210 config_in_force version=5");
+    Add("b", "12.0", "E210 config_in_force version=6");
+    Add("a", "13.0", "E210 config_in_force version=7");
+    Add("a", "09.0", "E320 target_listed target=i-1 zone=gaspe");
+    Add("a", "09.5", "E320 target_listed target=i-2 zone=gaspe");
+    Add("b", "14.0", "E610 target_ejected target=i-1 id=77");
+    Add("b", "40.0", "E610 target_ejected target=i-1 id=78");
+    Add("a", "11.5", "E621 attempt_failed id=3d09 target=i-2 zone=gaspe");
+  }
+};
+
+TEST(RequestHistory, OwnLines_AreInOrderOfTime) {
+  const auto history = FindRequest(lines, "3d09");
+  CHECK_TRUE(history.ok());
+  LONGS_EQUAL(2, history->way.size());
+  STRCMP_EQUAL("E621", history->way[0].event.c_str());
+}
+
+TEST(RequestHistory, Beliefs_AreTheNewestOfItsDaemonBeforeItsEnd) {
+  const auto history = FindRequest(lines, "3d09");
+  LONGS_EQUAL(3, history->beliefs.size());
+  STRCMP_EQUAL("5", history->beliefs[0].field("version").c_str());
+}
+
+TEST(RequestHistory, OtherDaemonsNotes_CountNearbyOnly) {
+  const auto history = FindRequest(lines, "3d09");
+  LONGS_EQUAL(1, history->nearby.size());
+  STRCMP_EQUAL("77", history->nearby[0].field("id").c_str());
+}
+
+TEST(RequestHistory, UnknownId_IsAnErrorThatTellsWhatWasRead) {
+  Add("b", "41.0", "E690 lines_dropped lines=12 E620=12");
+  const auto history = FindRequest(lines, "ffff");
+  CHECK_TRUE(history.status().code() == absl::StatusCode::kNotFound);
+  const std::string message(history.status().message());
+  CHECK_TRUE(message.find("id=ffff among 11 lines") != std::string::npos);
+  CHECK_TRUE(message.find("left out 12 lines") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace greengage
