Relay changes in the soak on every second seed; a setting for the fleet's size

The soak starts its three daemons with 1 on even seeds, so that relays are frozen, killed, cut off and stopped under load.

--- a/apps/greengage_entry.cc
+++ b/apps/greengage_entry.cc
@@ -28,6 +28,11 @@
   app.add_option("--log-lines", log_lines,
                  "most log lines a second; 0: no bound")
       ->envname("GREENGAGE_LOG_LINES");
+  greengage::EntryDaemon::Options options;
+  app.add_option("--relay-above", options.relay_above,
+                 "daemons above which those of a zone hear of the store's "
+                 "changes from one of them")
+      ->envname("GREENGAGE_RELAY_ABOVE");
   app.add_flag("--check-settings", only_checks, "check the settings and end");
   CLI11_PARSE(app, argc, argv);
 
@@ -41,7 +46,8 @@
   if (only_checks) return 0;
   greengage::InitBoundedLogging(*greengage::ParseLogLevel(log_level),
                                 "greengage_entry", log_lines);
-  greengage::EntryDaemon daemon(*std::move(settings), std::move(platform));
+  greengage::EntryDaemon daemon(*std::move(settings), std::move(platform),
+                                options);
   const absl::Status status = daemon.Run();
   greengage::StopBoundedLogging();
   if (status.ok()) return 0;
--- a/modules/gg_entry/change_history.h
+++ b/modules/gg_entry/change_history.h
@@ -16,7 +16,7 @@
  public:
   struct Options {
     /** Bytes of keys and values that are kept: some 2,000 targets' entries. */
-    size_t most_bytes = 512 * 1024;
+    size_t most_bytes = size_t{512} * 1024;
   };
 
   explicit ChangeHistory(Options options) : options_(options) {}
--- a/modules/gg_entry/change_relay.h
+++ b/modules/gg_entry/change_relay.h
@@ -28,7 +28,7 @@
     size_t most_listeners = 128;
     /** Bytes that a listener may be behind before it is disconnected: twice
         the history. */
-    size_t most_unsent = 1024 * 1024;
+    size_t most_unsent = size_t{1024} * 1024;
   };
 
   ChangeRelay(asio::io_context* context, Options options);
--- a/modules/gg_entry/entry_daemon.cc
+++ b/modules/gg_entry/entry_daemon.cc
@@ -63,8 +63,10 @@
 }  // namespace
 
 struct EntryDaemon::Parts {
-  Parts(EntrySettings entry_settings, EntryPlatform entry_platform)
-      : settings(std::move(entry_settings)),
+  Parts(EntrySettings entry_settings, EntryPlatform entry_platform,
+        Options daemon_options)
+      : options(daemon_options),
+        settings(std::move(entry_settings)),
         platform(std::move(entry_platform)),
         self(MakeSelf(settings)),
         traffic({.context = &io,
@@ -107,14 +109,15 @@
         control(MakeControlOptions()) {}
 
   FleetControl::Options MakeControlOptions() {
-    FleetControl::Options options;
-    options.fleet.targets.zone_regions = settings.zone_regions;
-    options.fleet.members.self = self;
-    options.hooks.log = [](LogLevel level, Event event,
-                           const std::string& text) {
+    FleetControl::Options control_options;
+    control_options.fleet.targets.zone_regions = settings.zone_regions;
+    control_options.fleet.members.self = self;
+    control_options.fleet.members.small_fleet = options.relay_above;
+    control_options.hooks.log = [](LogLevel level, Event event,
+                                   const std::string& text) {
       LogEvent(level, event, text);
     };
-    options.hooks.publish = [this](FleetViewPtr view) {
+    control_options.hooks.publish = [this](FleetViewPtr view) {
       asio::post(io, [this, view = std::move(view)] {
         heartbeats.SetPeers(view->near_peers, view->far_peers);
         heartbeats.SetEvacuated(view->evacuated);
@@ -122,7 +125,7 @@
         traffic.SetView(view);
       });
     };
-    return options;
+    return control_options;
   }
 
   StoreSync::Hooks MakeStoreHooks() {
@@ -293,6 +296,7 @@
       io.stop();
   }
 
+  const Options options;
   EntrySettings settings;
   const EntryPlatform platform;
   const Member self;
@@ -316,9 +320,10 @@
   FleetControl control;  // last: its thread uses the others
 };
 
-EntryDaemon::EntryDaemon(EntrySettings settings, EntryPlatform platform)
-    : parts_(
-          std::make_unique<Parts>(std::move(settings), std::move(platform))) {}
+EntryDaemon::EntryDaemon(EntrySettings settings, EntryPlatform platform,
+                         Options options)
+    : parts_(std::make_unique<Parts>(std::move(settings), std::move(platform),
+                                     options)) {}
 
 EntryDaemon::~EntryDaemon() = default;
 
--- a/modules/gg_entry/entry_daemon.h
+++ b/modules/gg_entry/entry_daemon.h
@@ -5,6 +5,7 @@
 
 #include "absl/status/status.h"
 #include "gg_entry/entry_platform.h"
+#include "gg_fleet/member_registry.h"
 
 namespace greengage {
 
@@ -12,7 +13,13 @@
     without cutting any. */
 class EntryDaemon {
  public:
-  EntryDaemon(EntrySettings settings, EntryPlatform platform);
+  struct Options {
+    /** Daemons above which those of a zone hear of the store's changes from one
+        of them; see MemberRegistry::Options. */
+    size_t relay_above = MemberRegistry::Options{}.small_fleet;
+  };
+
+  EntryDaemon(EntrySettings settings, EntryPlatform platform, Options options);
   ~EntryDaemon();
   EntryDaemon(const EntryDaemon&) = delete;
   EntryDaemon& operator=(const EntryDaemon&) = delete;
--- a/tests/entry/entry_path_test.cc
+++ b/tests/entry/entry_path_test.cc
@@ -57,7 +57,8 @@
     EntryPlatform platform = platform::MakeEntryPlatform(kSettingsPath);
     auto settings = platform.read_settings();
     CHECK_TRUE_TEXT(settings.ok(), MessageOf(settings.status()).c_str());
-    daemon = std::make_unique<EntryDaemon>(*settings, std::move(platform));
+    daemon = std::make_unique<EntryDaemon>(*settings, std::move(platform),
+                                           EntryDaemon::Options{});
     thread = std::thread([this] {
       const absl::Status status = daemon->Run();
       if (!status.ok()) std::printf("%s\n", MessageOf(status).c_str());
--- a/tests/soak/entry_soak.cc
+++ b/tests/soak/entry_soak.cc
@@ -131,7 +131,10 @@
       const std::string settings = absl::StrCat(options_.folder, "/soak-",
                                                 options_.seed, "-", i, ".conf");
       WriteSettings(settings, host, way);
-      host.process.command = {options_.program, "--settings", settings};
+      // Every second seed has changes relayed, as in fleets of hundreds.
+      host.process.command = {options_.program, "--settings", settings,
+                              "--relay-above",
+                              options_.seed % 2 == 0 ? "1" : "24"};
       host.process.output = absl::StrCat(options_.folder, "/soak-",
                                          options_.seed, "-", i, ".log");
       std::filesystem::remove(host.process.output);
