--- a/modules/gg_request/target_picker.h
+++ b/modules/gg_request/target_picker.h
@@ -74,9 +74,8 @@
     /** The same, above which nothing more is sent to a target. */
     double full_utilization = 2.2;
     /** How much lower it is for routes that are less urgent than the most
-       urgent one of the configuration: room for about one urgent request a
-       slot's third, so that under overload the more urgent ones are turned away
-        last. */
+        urgent one of the configuration. A target of three slots so keeps one
+        place for them, and under overload they are turned away last. */
     double rank_step = 0.3;
     /** Part of a region's targets below which all stay in use although they
         failed lately: fewer could not carry its load, and would fail next. */
