--- a/tests/soak/entry_soak.cc
+++ b/tests/soak/entry_soak.cc
@@ -31,6 +31,9 @@
 constexpr int kTargets = 6;
 constexpr int kCallers = 8;
 constexpr Duration kCalm = std::chrono::seconds(5);
+
+/** The operators' bound on requests to a target after it has left. */
+constexpr std::chrono::milliseconds kDrainBound{2500};
 constexpr int kTimeLimitMs = 600;
 
 TimePoint Now() { return std::chrono::steady_clock::now(); }
@@ -87,6 +90,7 @@
     EndFaults();
     std::this_thread::sleep_for(kCalm);
     CheckCalm();
+    LeaveInCalm();
     StopEachInCalm();
     is_over_ = true;
     for (std::thread& caller : callers) caller.join();
@@ -370,6 +374,18 @@
     }
   }
 
+  /** One target says that it leaves, another's entry goes without a word; both
+      serve on, and nothing may reach them after the operators' bound. */
+  void LeaveInCalm() {
+    world_.SetDraining("t-0");
+    world_.RemoveEntry("t-1");
+    Sleep(static_cast<int>(kDrainBound.count()) + 1000);
+    const int late = world_.LateArrivals(kDrainBound);
+    if (late > 0) {
+      Broken(absl::StrCat(late, " requests reached a target that had left"));
+    }
+  }
+
   void StopEachInCalm() {
     size_t from = 0;
     {
