Rank a route among those of its own service

Cause: found on reading: a route was refused earlier because of a more urgent one of any service, although the two share no target; a service with nothing but less urgent routes would have lost a seventh of its room.

Change: the most urgent rank is kept by service. The test failed before the change.

--- a/modules/gg_request/target_picker.cc
+++ b/modules/gg_request/target_picker.cc
@@ -39,14 +39,20 @@
 void TargetPicker::SetView(FleetViewPtr view) {
   view_ = std::move(view);
   if (view_->config == nullptr) return;
-  most_urgent_ = std::numeric_limits<int>::max();
+  most_urgent_.clear();
   for (const RouteRule& route : view_->config->routes) {
-    most_urgent_ = std::min(most_urgent_, route.priority);
+    for (const ServiceShare& share : route.shares) {
+      const auto [found, is_new] =
+          most_urgent_.try_emplace(share.service, route.priority);
+      found->second = std::min(found->second, route.priority);
+    }
   }
 }
 
-double TargetPicker::FullUtilization(const RouteRule& route) const {
-  const bool is_urgent = route.priority <= most_urgent_;
+double TargetPicker::FullUtilization(const PickRequest& request) const {
+  const auto found = most_urgent_.find(request.service);
+  const bool is_urgent =
+      found == most_urgent_.end() || request.route->priority <= found->second;
   return options_.full_utilization - (is_urgent ? 0 : options_.rank_step);
 }
 
@@ -234,7 +240,7 @@
   pick.is_first_choice = best == candidates.front();
   const BoardRow& row = board_->row(best);
   const double utilization = board_->Utilization(row, now);
-  if (utilization >= FullUtilization(*request.route)) {
+  if (utilization >= FullUtilization(request)) {
     pick.reason = NoTarget::kAllFull;
     pick.refused_utilization = utilization;
     return pick;
--- a/modules/gg_request/target_picker.h
+++ b/modules/gg_request/target_picker.h
@@ -74,8 +74,8 @@
     /** The same, above which nothing more is sent to a target. */
     double full_utilization = 2.2;
     /** How much lower it is for routes that are less urgent than the most
-        urgent one of the configuration. A target of three slots so keeps one
-        place for them, and under overload they are turned away last. */
+        urgent one of the same service. A target of three slots so keeps one
+        place for the urgent, and under overload they are turned away last. */
     double rank_step = 0.3;
     /** Part of a region's targets below which all stay in use although they
         failed lately: fewer could not carry its load, and would fail next. */
@@ -119,7 +119,7 @@
                                      TimePoint now) const;
   bool IsUsable(size_t row, const PickRequest& request, TimePoint now);
   double ColdRate(const BoardRow& row) const;
-  double FullUtilization(const RouteRule& route) const;
+  double FullUtilization(const PickRequest& request) const;
   double Cost(const BoardRow& row, TimePoint now) const;
   size_t PickForObject(const std::vector<size_t>& ordered, uint64_t object,
                        TimePoint now) const;
@@ -128,7 +128,8 @@
   Options options_;
   TargetBoard* board_;  // not owned
   FleetViewPtr view_;
-  int most_urgent_ = 0;  // rank of the configuration's most urgent route
+  /** Rank of the most urgent route, by service. */
+  std::map<std::string, int, std::less<>> most_urgent_;
   std::map<std::string, ServicePlan> plans_;      // by service and home regions
   ArrivalRate arrivals_{ArrivalRate::Options{}};  // of all services
   ColdPacer pacer_;
--- a/tests/entry/request_test.cc
+++ b/tests/entry/request_test.cc
@@ -521,6 +521,20 @@
   CHECK_TRUE(order.row.has_value());
 }
 
+TEST(TargetPicker, UrgentRouteOfAnotherService_TakesNoRoom) {
+  FleetView ranked = MakeView({{"north", 4}});
+  auto config = std::make_shared<FleetConfig>(*ranked.config);
+  RouteRule urgent = config->routes[0];
+  urgent.name = "order";
+  urgent.shares = {{"workshop", 1}};
+  config->routes[0].priority = 1;
+  config->routes.push_back(urgent);
+  ranked.config = config;
+  Use(ranked);
+  for (size_t i = 0; i < 4; ++i) board.NoteReport(i, 18, At(0));  // 2.0 a slot
+  CHECK_TRUE(Choose("tool").row.has_value());
+}
+
 TEST_GROUP(ReturnAfter){
     /** Seconds for a caller with `left` s; the target has 3 requests a slot. */
     double Seconds(double draw, double left = 10,
