--- a/apps/greengage_entry.cc
+++ b/apps/greengage_entry.cc
@@ -1,7 +1,7 @@
 #include <CLI/CLI.hpp>
 #include <iostream>
 
-#include "gg_entry/entry_daemon.h"
+#include "gg_entry/gg_entry.h"
 #include "gg_insight/event_log.h"
 #include "platform/entry_platform_adapter.h"
 
--- a/modules/gg_wire/gg_wire.h
+++ b/modules/gg_wire/gg_wire.h
@@ -4,11 +4,13 @@
 /** @file
     gg_wire: frames between daemons.
 
-    Purpose: turns typed peer messages into FlatBuffers frames and verified
-   frames back into messages. Depends on: gg_core, gg_steering (for the message
-   types).
+    Purpose: turns typed peer messages, heartbeats of entry hosts and relayed
+    changes into FlatBuffers and verified bytes back into them.
+    Depends on: gg_core, gg_steering (for the message types).
 */
 
+#include "gg_wire/change_relay_codec.h"
+#include "gg_wire/entry_heartbeat_codec.h"
 #include "gg_wire/frame_codec.h"
 
 #endif  // GG_WIRE_GG_WIRE_H_
