Report how far behind the traffic thread is, and whether a caller left before its request was sent

Evidence that tells the hypotheses of the incident apart: E108 and the histogram greengage_loop_delay_seconds show a daemon that is behind, greengage_callers_gone_total counts departures by whether a target had the request. No decision changes.

--- a/modules/gg_core/event.cc
+++ b/modules/gg_core/event.cc
@@ -26,6 +26,7 @@
       {Event::kListening, "listening"},
       {Event::kSettingsReloaded, "settings_reloaded"},
       {Event::kSettingsRefused, "settings_refused"},
+      {Event::kProcessBehind, "process_behind"},
       {Event::kDocumentAccepted, "document_accepted"},
       {Event::kDocumentRefused, "document_refused"},
       {Event::kSharedValueRefused, "shared_value_refused"},
--- a/modules/gg_core/event.h
+++ b/modules/gg_core/event.h
@@ -21,6 +21,7 @@
   kListening = 105,
   kSettingsReloaded = 106,
   kSettingsRefused = 107,
+  kProcessBehind = 108,
   kDocumentAccepted = 200,
   kDocumentRefused = 201,
   kSharedValueRefused = 203,
--- a/modules/gg_entry/entry_daemon.cc
+++ b/modules/gg_entry/entry_daemon.cc
@@ -22,6 +22,9 @@
 /** Interval at which time limits are checked. */
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 
+/** Lateness of a tick from which it is logged. */
+constexpr Duration kLoggedLoopDelay = std::chrono::milliseconds(250);
+
 /** Ticks between two reads of the settings file. */
 constexpr int kTicksPerSettingsCheck = 20;
 
@@ -230,11 +233,24 @@
     tick_timer.expires_after(kTickInterval);
     tick_timer.async_wait([this](const ErrorCode& error) {
       if (error) return;
-      Tick(Now());
+      const TimePoint now = Now();
+      RecordLoopDelay(now - tick_timer.expiry());
+      Tick(now);
       ScheduleTick();
     });
   }
 
+  /** Records by how much the traffic thread is behind. */
+  void RecordLoopDelay(Duration delay) {
+    metrics.RecordLatency("greengage_loop_delay_seconds", "", delay);
+    if (delay < kLoggedLoopDelay) return;
+    const auto milliseconds =
+        std::chrono::duration_cast<std::chrono::milliseconds>(delay).count();
+    LogEvent(LogLevel::kWarning, Event::kProcessBehind,
+             absl::StrCat("delay_ms=", milliseconds,
+                          " active=", traffic_listener.ActiveRequests()));
+  }
+
   void Tick(TimePoint now) {
     traffic_listener.CheckTimeouts(now);
     health_listener.CheckTimeouts(now);
--- a/modules/gg_entry/forwarded_request.cc
+++ b/modules/gg_entry/forwarded_request.cc
@@ -360,12 +360,15 @@
   const TimePoint now = Now();
   is_finished_ = true;
   // A request that can't be repeated is not cancelled before its time limit.
-  const bool keeps_running =
-      attempt_ != nullptr && attempt_->is_sent() && !state_.is_idempotent;
+  const bool is_running = attempt_ != nullptr && attempt_->is_sent();
+  const bool keeps_running = is_running && !state_.is_idempotent;
   Log(LogLevel::kInfo, Event::kCallerGone,
-      absl::StrCat("sent=", attempt_ != nullptr && attempt_->is_sent() ? 1 : 0,
+      absl::StrCat("sent=", is_running ? 1 : 0,
                    " runs_on=", keeps_running ? 1 : 0),
       now);
+  traffic_->options().metrics->IncrementCounter(
+      "greengage_callers_gone_total",
+      absl::StrCat("sent=\"", is_running ? 1 : 0, "\""));
   session_ = nullptr;
   if (keeps_running) return;
   deadline_timer_.cancel();
--- a/tests/standins/platform_standin.cc
+++ b/tests/standins/platform_standin.cc
@@ -13,6 +13,7 @@
 using nlohmann::json;
 
 constexpr Duration kWatchPollInterval = std::chrono::milliseconds(10);
+constexpr Duration kDisconnectPollInterval = std::chrono::milliseconds(10);
 
 TimePoint Now() { return std::chrono::steady_clock::now(); }
 
@@ -175,6 +176,11 @@
   return found == run_counts_.end() ? 0 : found->second;
 }
 
+bool PlatformStandin::WasAbandoned(const std::string& request_id) const {
+  const std::lock_guard lock(mutex_);
+  return abandoned_ids_.count(request_id) != 0;
+}
+
 int PlatformStandin::CountLateRequests(Duration grace) const {
   const std::lock_guard lock(mutex_);
   return static_cast<int>(std::count_if(
@@ -374,6 +380,21 @@
   co_return co_await RespondAsTarget(id, behaviour, connection, request);
 }
 
+asio::awaitable<bool> PlatformStandin::Work(ClientConnection* connection,
+                                            std::string request_id,
+                                            Duration duration) {
+  const TimePoint end = Now() + duration;
+  for (;;) {
+    const Duration left = end - Now();
+    if (left <= Duration::zero()) co_return true;
+    co_await SleepFor(std::min(left, kDisconnectPollInterval));
+    if (IsOpenAndIdle(connection->stream.socket())) continue;
+    const std::lock_guard lock(mutex_);
+    abandoned_ids_.insert(request_id);
+    co_return false;
+  }
+}
+
 asio::awaitable<bool> PlatformStandin::RespondAsTarget(
     std::string id, std::string behaviour, ClientConnection* connection,
     RequestParser* request) {
@@ -390,8 +411,9 @@
     response.set("Not-Run", "1");
     co_return co_await Send(connection, *request, std::move(response));
   }
-  co_await SleepFor(std::chrono::milliseconds(work_ms));
-  if (behaviour == "lose") co_return false;
+  const bool is_complete =
+      co_await Work(connection, request_id, std::chrono::milliseconds(work_ms));
+  if (!is_complete || behaviour == "lose") co_return false;
   response.body() = absl::StrCat("whole ", request_id, " of ", id);
   response.set("Upstream-Load", "1,0,8");
   if (behaviour != "unsigned") response.set("Upstream-Stamp", "stamp-" + id);
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -90,6 +90,10 @@
   /** Returns how many times all targets together ran the request. */
   int RunCount(const std::string& request_id) const;
 
+  /** Returns whether a target noticed, while it ran the request, that the
+      connection had been closed, and stopped. */
+  bool WasAbandoned(const std::string& request_id) const;
+
   /** Returns how many requests reached a target more than `grace` after it was
       set to draining or deregistered. */
   int CountLateRequests(Duration grace) const;
@@ -125,6 +129,10 @@
   asio::awaitable<bool> RespondAsTarget(std::string id, std::string behaviour,
                                         ClientConnection* connection,
                                         RequestParser* request);
+  /** Processes a request for `duration`.
+      @return false if the connection was closed in the meantime. */
+  asio::awaitable<bool> Work(ClientConnection* connection,
+                             std::string request_id, Duration duration);
   std::string RangeJson(const std::string& after) const;
   std::optional<std::string> EventsJson(uint64_t after) const;
   void ApplyTransaction(const std::string& body);
@@ -149,6 +157,7 @@
   std::vector<Duration> times_since_departure_;
   TargetFaults faults_;
   std::map<std::string, int> run_counts_;
+  std::set<std::string> abandoned_ids_;  // of requests
   std::atomic<int64_t> store_call_count_ = 0;
   std::atomic<bool> is_store_down_ = false;
   std::thread thread_;
