Reproduce requests sent for callers that had left

A read whose answer is lost is sent to a second target though its caller has left. A close that lies behind 64 KiB of further input is never seen, and the target works on. A running read whose caller leaves is cancelled at its target: that test passes.

--- a/tests/entry/caller_disconnect_test.cc
+++ b/tests/entry/caller_disconnect_test.cc
@@ -49,5 +49,77 @@
   CHECK_TRUE(sum > 0.4);
 }
 
+// Replays grown Gantnet's trouble-1: a host that was behind sent on the
+// requests of callers that had given up.
+TEST(CallerDisconnect, RequestReadAfterItsCallerLeft_IsNotSent) {
+  StartServing();
+  constexpr int kCallerCount = 20;
+  StallDaemon(milliseconds(600));
+  for (int i = 0; i < kCallerCount; ++i) {
+    asio::ip::tcp::socket socket = Connect();
+    WriteRead(&socket, "/read/", absl::StrCat("left-", i));
+  }
+  std::this_thread::sleep_for(milliseconds(1000));
+  int run_count = 0;
+  for (int i = 0; i < kCallerCount; ++i) {
+    run_count += world->RunCount(absl::StrCat("left-", i));
+  }
+  LONGS_EQUAL(0, run_count);
+  LONGS_EQUAL(200, SendGet(kTrafficAddress, "/read/").result_int());
+}
+
+TEST(CallerDisconnect,
+     RequestOnKeptConnectionReadAfterItsCallerLeft_IsNotSent) {
+  StartServing();
+  asio::ip::tcp::socket socket = Connect();
+  WriteRead(&socket, "/read/", "first");
+  beast::flat_buffer buffer;
+  http::response<http::string_body> response;
+  http::read(socket, buffer, response);
+  LONGS_EQUAL(200, response.result_int());
+  StallDaemon(milliseconds(300));
+  WriteRead(&socket, "/read/", "left");
+  socket.close();
+  std::this_thread::sleep_for(milliseconds(600));
+  LONGS_EQUAL(0, world->RunCount("left"));
+}
+
+TEST(CallerDisconnect, LostReadWhoseCallerLeft_IsNotRetried) {
+  StartServing(2000);
+  world->SetFaults({.work_ms = 200});
+  asio::ip::tcp::socket socket = Connect();
+  WriteRead(&socket, "/read/lose", "left");
+  WaitUntilRunning("left");
+  // The end of the attempt and the caller's close are found together.
+  StallDaemon(milliseconds(600));
+  std::this_thread::sleep_for(milliseconds(400));
+  socket.close();
+  std::this_thread::sleep_for(milliseconds(600));
+  LONGS_EQUAL(1, world->RunCount("left"));
+}
+
+TEST(CallerDisconnect, RunningReadWhoseCallerLeft_EndsAtTheTarget) {
+  StartServing(4000);
+  asio::ip::tcp::socket socket = Connect();
+  WriteRead(&socket, "/read/slow", "left");
+  WaitUntilRunning("left");
+  socket.close();
+  std::this_thread::sleep_for(kMaxWorkAfterDisconnect);
+  CHECK_TRUE(world->WasAbandoned("left"));
+}
+
+TEST(CallerDisconnect,
+     RunningReadWithMoreInputThanIsReadAhead_EndsAtTheTarget) {
+  StartServing(4000);
+  asio::ip::tcp::socket socket = Connect();
+  WriteRead(&socket, "/read/slow", "left");
+  WaitUntilRunning("left");
+  asio::write(socket, asio::buffer(std::string(100'000, 'x')));
+  std::this_thread::sleep_for(milliseconds(100));
+  socket.close();
+  std::this_thread::sleep_for(kMaxWorkAfterDisconnect);
+  CHECK_TRUE(world->WasAbandoned("left"));
+}
+
 }  // namespace
 }  // namespace greengage
