Look at the caller's connection before a request is sent

Callers saw nothing: they had left. Their requests still reached targets, more than half a second after the close on a host that was behind. Cause: the session hands a request on before it reads again, so a close that lies in the socket behind the request is seen only after the attempt is sent; the same holds before a retry and when a connection has opened. Callers that get no response within a second leave, so a host a second behind spends its time on requests that nobody waits for, and stays behind.

Now the connection is asked for its state (POLLRDHUP, which also sees a close behind unread input) before each attempt, and again after a connection was opened. The request is built at that moment, so the time left that it states no longer includes the time spent connecting.

--- a/modules/gg_entry/forwarded_request.cc
+++ b/modules/gg_entry/forwarded_request.cc
@@ -123,6 +123,7 @@
 }
 
 void ForwardedRequest::StartNextAttempt(TimePoint now) {
+  if (EndIfCallerGone()) return;
   const Pick pick = traffic_->picker().Choose({.route = route_,
                                                .service = service_,
                                                .object = caller_fields_.object,
@@ -159,28 +160,38 @@
     OnFault(AttemptFault::kNotSent, "the target's address can't be read", now);
     return;
   }
+  const auto attempt = std::make_shared<TargetAttempt>(TargetAttempt::Options{
+      .context = traffic_->options().context,
+      .endpoint = *endpoint,
+      .pooled_connection = traffic_->idle_connections().Take(TargetKey(), now),
+      .make_request =
+          [self = shared_from_this()] { return self->MakeTargetRequest(); },
+      .connect_timeout = std::min<Duration>(kConnectTimeout, TimeLeft(now)),
+      .on_done =
+          [self = shared_from_this()](AttemptOutcome outcome) {
+            self->OnOutcome(std::move(outcome));
+          }});
+  attempt_ = attempt;
+  attempt->Start();
+}
+
+std::shared_ptr<const TargetRequest> ForwardedRequest::MakeTargetRequest() {
+  const bool was_checked_just_now = attempt_->uses_pooled_connection();
+  if (!was_checked_just_now && EndIfCallerGone()) return nullptr;
   auto request =
       std::make_shared<TargetRequest>(request_.method(), request_.target(), 11);
   request->method_string(request_.method_string());
   CopyEndToEndFields(request_, request.get());
   const bool has_body_framing = request_.has_content_length() ||
                                 request_.chunked() || !request_.body().empty();
+  const TargetRecord& target = traffic_->board().row(target_row_).target.record;
   traffic_->options().message_codec.prepare_target_request(
-      TimeLeft(now), target.id, request.get());
+      TimeLeft(Now()), target.id, request.get());
   if (has_body_framing) {
     request->body() = request_.body();
     request->content_length(request_.body().size());
   }
-  attempt_ = std::make_shared<TargetAttempt>(TargetAttempt::Options{
-      .context = traffic_->options().context,
-      .endpoint = *endpoint,
-      .pooled_connection = traffic_->idle_connections().Take(TargetKey(), now),
-      .request = std::move(request),
-      .connect_timeout = std::min<Duration>(kConnectTimeout, TimeLeft(now)),
-      .on_done = [self = shared_from_this()](AttemptOutcome outcome) {
-        self->OnOutcome(std::move(outcome));
-      }});
-  attempt_->Start();
+  return request;
 }
 
 void ForwardedRequest::EndAttempt(AttemptEnd end, double relative_time,
@@ -378,6 +389,14 @@
   EndAttempt(AttemptEnd::kCancelled, 0, now);
 }
 
+bool ForwardedRequest::EndIfCallerGone() {
+  if (!session_->HasCallerDisconnected()) return false;
+  const HttpSessionPtr session = session_;
+  OnCallerGone();
+  session->Abort();
+  return true;
+}
+
 void ForwardedRequest::ForwardResponse(TargetResponse response, TimePoint now) {
   is_finished_ = true;
   deadline_timer_.cancel();
--- a/modules/gg_entry/forwarded_request.h
+++ b/modules/gg_entry/forwarded_request.h
@@ -28,6 +28,9 @@
   bool FindRoute();
   void StartNextAttempt(TimePoint now);
   void StartAttempt(const Pick& pick, TimePoint now);
+  /** Returns the request for the target of the current attempt, or nullptr when
+      the caller has disconnected while the connection was opened. */
+  std::shared_ptr<const TargetRequest> MakeTargetRequest();
   void OnOutcome(AttemptOutcome outcome);
   /** Checks a target's response, records the load that it reports, and returns
       its connection to the pool.
@@ -38,6 +41,9 @@
   void OnFault(AttemptFault fault, const std::string& reason, TimePoint now);
   void OnDeadline();
   void OnCallerGone();
+  /** Ends the request if its caller has disconnected.
+      @return whether it has. */
+  bool EndIfCallerGone();
   void ForwardResponse(TargetResponse response, TimePoint now);
   void RespondWithError(http::status status, Event event,
                         const std::string& reason, TimePoint now);
--- a/modules/gg_entry/http_session.cc
+++ b/modules/gg_entry/http_session.cc
@@ -238,6 +238,10 @@
 
 void HttpSession::Abort() { Close(); }
 
+bool HttpSession::HasCallerDisconnected() {
+  return phase_ == Phase::kClosed || HasPeerClosed(socket_);
+}
+
 void HttpSession::Close() {
   if (phase_ == Phase::kClosed) return;
   phase_ = Phase::kClosed;
--- a/modules/gg_entry/http_session.h
+++ b/modules/gg_entry/http_session.h
@@ -74,6 +74,10 @@
   void CloseWhenIdle();
 
   //==============================================================================
+  /** Returns whether the caller has disconnected, also when the input that it
+      sent before has not been read yet. */
+  bool HasCallerDisconnected();
+
   Phase phase() const { return phase_; }
 
   /** Returns whether a request is being handled or its response written. */
--- a/modules/gg_entry/target_attempt.cc
+++ b/modules/gg_entry/target_attempt.cc
@@ -60,15 +60,22 @@
 }
 
 void TargetAttempt::Send() {
+  // Moved out first, as the function may call Cancel().
+  const auto make_request = std::move(options_.make_request);
+  request_ = make_request();
+  if (request_ == nullptr) {
+    Cancel();
+    return;
+  }
   is_sent_ = true;
-  http::async_write(connection_->socket, *options_.request,
-                    [self = shared_from_this(), request = options_.request](
-                        const ErrorCode& error, size_t) {
-                      // A write error is not final: the target may have
-                      // responded before it closed the connection, which the
-                      // read shows.
-                      if (!error) self->is_request_written_ = true;
-                    });
+  http::async_write(
+      connection_->socket, *request_,
+      [self = shared_from_this()](const ErrorCode& error, size_t) {
+        // A write error is not final: the target may have
+        // responded before it closed the connection, which the
+        // read shows.
+        if (!error) self->is_request_written_ = true;
+      });
   Read();
 }
 
@@ -76,7 +83,7 @@
   parser_.emplace();
   parser_->header_limit(kMaxResponseHeaderBytes);
   parser_->body_limit(kMaxResponseBodyBytes);
-  if (options_.request->method() == http::verb::head) parser_->skip(true);
+  if (request_->method() == http::verb::head) parser_->skip(true);
   http::async_read(connection_->socket, connection_->buffer, *parser_,
                    [self = shared_from_this()](const ErrorCode& error, size_t) {
                      self->OnRead(error);
@@ -127,6 +134,7 @@
 void TargetAttempt::Cancel() {
   is_done_ = true;
   options_.on_done = nullptr;
+  options_.make_request = nullptr;
   connect_timer_.cancel();
   ErrorCode ignored;
   if (connection_ != nullptr) connection_->socket.close(ignored);
--- a/modules/gg_entry/target_attempt.h
+++ b/modules/gg_entry/target_attempt.h
@@ -36,7 +36,10 @@
     asio::io_context* context = nullptr;  // not owned
     asio::ip::tcp::endpoint endpoint;
     PooledConnectionPtr pooled_connection;  // nullptr: opens a new connection
-    std::shared_ptr<const TargetRequest> request;
+    /** Returns the request, or nullptr when it must not be sent any more.
+        Called once, when the connection is open. After nullptr the attempt ends
+        without a call of `on_done`. */
+    std::function<std::shared_ptr<const TargetRequest>()> make_request;
     Duration connect_timeout{};
     std::function<void(AttemptOutcome outcome)> on_done;  // called once
   };
@@ -65,6 +68,7 @@
   void Finish(AttemptOutcome outcome);
 
   Options options_;
+  std::shared_ptr<const TargetRequest> request_;  // set when it is sent
   asio::steady_timer connect_timer_;
   PooledConnectionPtr connection_;
   std::optional<http::response_parser<http::string_body>> parser_;
--- a/modules/gg_store/asio.cc
+++ b/modules/gg_store/asio.cc
@@ -1,5 +1,6 @@
 #include "gg_store/asio.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <charconv>
@@ -29,4 +30,10 @@
   return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool HasPeerClosed(asio::ip::tcp::socket& socket) {
+  pollfd descriptor{
+      .fd = socket.native_handle(), .events = POLLRDHUP, .revents = 0};
+  return ::poll(&descriptor, 1, 0) > 0;
+}
+
 }  // namespace greengage
--- a/modules/gg_store/asio.h
+++ b/modules/gg_store/asio.h
@@ -47,6 +47,10 @@
     that is still unread. Does not block. */
 bool IsOpenAndIdle(asio::ip::tcp::socket& socket);
 
+/** Returns true when the peer has closed or reset the connection, even if bytes
+    that it sent before are still unread. Does not block. */
+bool HasPeerClosed(asio::ip::tcp::socket& socket);
+
 }  // namespace greengage
 
 #endif  // GG_STORE_ASIO_H_
--- a/tests/entry/caller_disconnect_test.cc
+++ b/tests/entry/caller_disconnect_test.cc
@@ -2,6 +2,7 @@
 // left, and work that may be repeated ends at the target as well.
 
 #include "entry/entry_path_fixture.h"
+#include "gg_entry/target_attempt.h"
 
 namespace greengage {
 namespace {
@@ -98,6 +99,26 @@
   LONGS_EQUAL(1, world->RunCount("left"));
 }
 
+TEST(CallerDisconnect, RequestWhoseCallerLeftWhileConnecting_IsNotSent) {
+  asio::ip::tcp::acceptor acceptor(io, *ParseEndpoint("127.0.7.3:18203"));
+  bool is_done = false;
+  const auto attempt = std::make_shared<TargetAttempt>(TargetAttempt::Options{
+      .context = &io,
+      .endpoint = acceptor.local_endpoint(),
+      .make_request = [] { return nullptr; },
+      .connect_timeout = std::chrono::seconds(1),
+      .on_done = [&](const AttemptOutcome&) { is_done = true; }});
+  attempt->Start();
+  io.run();
+  asio::ip::tcp::socket accepted = acceptor.accept();
+  char byte = 0;
+  ErrorCode error;
+  LONGS_EQUAL(0, accepted.read_some(asio::buffer(&byte, 1), error));
+  CHECK_TRUE(error == asio::error::eof);
+  CHECK_FALSE(attempt->is_sent());
+  CHECK_FALSE(is_done);
+}
+
 TEST(CallerDisconnect, RunningReadWhoseCallerLeft_EndsAtTheTarget) {
   StartServing(4000);
   asio::ip::tcp::socket socket = Connect();
