Notice a caller that leaves while reading is paused

A caller that had sent 64 KiB or more beyond its request could leave without being noticed: the session stops reading there, and the close lies behind the unread bytes. Targets worked on for it until the time limit. Each tick now asks the connection for its state while a request is handled and no read is pending.

--- a/modules/gg_entry/http_session.cc
+++ b/modules/gg_entry/http_session.cc
@@ -71,11 +71,8 @@
   if (phase_ == Phase::kClosed) return;
   if (error) {
     has_read_error_ = true;
-    const bool was_handling = phase_ == Phase::kHandling;
     if (phase_ == Phase::kWriting) return;  // OnWritten() follows
-    const auto on_caller_gone = std::move(on_caller_gone_);
-    Close();
-    if (was_handling && on_caller_gone) on_caller_gone();
+    CloseAndReport();
     return;
   }
   if (phase_ == Phase::kLingering) {
@@ -226,6 +223,9 @@
       if (now - phase_began_at_ > kLingerTime) Close();
       break;
     case Phase::kHandling:
+      // While reading is paused at the limit, no read reports a disconnect.
+      if (!is_read_pending_ && HasPeerClosed(socket_)) CloseAndReport();
+      break;
     case Phase::kClosed:
       break;
   }
@@ -242,6 +242,13 @@
   return phase_ == Phase::kClosed || HasPeerClosed(socket_);
 }
 
+void HttpSession::CloseAndReport() {
+  const bool was_handling = phase_ == Phase::kHandling;
+  const auto on_caller_gone = std::move(on_caller_gone_);
+  Close();
+  if (was_handling && on_caller_gone) on_caller_gone();
+}
+
 void HttpSession::Close() {
   if (phase_ == Phase::kClosed) return;
   phase_ = Phase::kClosed;
--- a/modules/gg_entry/http_session.h
+++ b/modules/gg_entry/http_session.h
@@ -66,7 +66,8 @@
 
   //==============================================================================
   /** Closes the connection, or responds with status 408, when a time limit has
-      passed. Called every tick. */
+      passed. Notices callers that disconnected while reading is paused. Called
+      every tick. */
   void CheckTimeouts(TimePoint now);
 
   /** Closes the connection now if it is idle, otherwise after the current
@@ -103,6 +104,9 @@
   void BeginNextRequest();
   void Linger();
   void Close();
+  /** Closes the connection, and calls the hook if a request was being
+      handled. */
+  void CloseAndReport();
 
   asio::ip::tcp::socket socket_;
   Options options_;
