Bound the bytes of a message that are buffered unparsed

A peer that sends a chunk extension without end, in trouble or on purpose, made the daemon buffer all of it: Beast limits headers and bodies, not the framing between chunks, and the buffers had no bound. On a host with 160 MB the process would be killed. Buffers of connections to targets and callers now hold at most 128 KiB that can't be parsed yet, in both daemons; the attempt fails, a caller's connection is closed with 400.

--- a/modules/gg_entry/http_session.cc
+++ b/modules/gg_entry/http_session.cc
@@ -1,5 +1,7 @@
 #include "gg_entry/http_session.h"
 
+#include <algorithm>
+
 #include "absl/strings/str_cat.h"
 #include "gg_http/header_policy.h"
 
@@ -121,6 +123,12 @@
     asio::async_write(socket_, asio::buffer(kContinue),
                       [self = shared_from_this()](const ErrorCode&, size_t) {});
   }
+  const size_t max_unparsed_bytes =
+      std::max<size_t>(kMaxUnparsedBytes, options_.limits().max_header_bytes);
+  if (buffer_.size() > max_unparsed_bytes) {
+    RespondAndClose(http::status::bad_request);
+    return;
+  }
   Read();
 }
 
--- a/modules/gg_entry/pooled_connection.h
+++ b/modules/gg_entry/pooled_connection.h
@@ -14,7 +14,7 @@
   explicit PooledConnection(asio::io_context* context) : socket(*context) {}
 
   asio::ip::tcp::socket socket;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxUnparsedBytes};
   TimePoint usable_until{};  // set while the connection is idle
 };
 
--- a/modules/gg_http/caller_connection.h
+++ b/modules/gg_http/caller_connection.h
@@ -15,7 +15,7 @@
       : stream(std::move(socket)) {}
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxUnparsedBytes};
   std::string address;       // "ip:port"
   uint32_t client_ipv4 = 0;  // host byte order; 0 for an IPv6 caller
   bool is_idle = false;      // waiting for the next request
--- a/modules/gg_http/target_connection_pool.h
+++ b/modules/gg_http/target_connection_pool.h
@@ -18,7 +18,7 @@
       : stream(executor) {}
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxUnparsedBytes};
   std::string address;
   TimePoint idle_since{};
 };
--- a/tests/entry/entry_path_test.cc
+++ b/tests/entry/entry_path_test.cc
@@ -103,6 +103,26 @@
   CHECK_FALSE(response["Upstream-Stamp"].empty());
 }
 
+TEST(EntryPath, ChunkExtensionWithoutEnd_ClosesTheConnection) {
+  StartServing();
+  asio::io_context io;
+  asio::ip::tcp::socket socket(io);
+  socket.connect(*ParseEndpoint(kTrafficAddress));
+  asio::write(socket, asio::buffer(std::string(
+                          "POST /order/ HTTP/1.1\r\nHost: shop.example\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n5;x=")));
+  const std::string extension(64 * 1024, 'a');
+  constexpr size_t kMaxAcceptedBytes = 16 * 1024 * 1024;
+  size_t sent_bytes = 0;
+  ErrorCode error;
+  while (!error && sent_bytes < kMaxAcceptedBytes) {
+    sent_bytes += asio::write(socket, asio::buffer(extension), error);
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  CHECK_TRUE(error.failed());
+  LONGS_EQUAL(200, SendGet(kTrafficAddress, "/read/").result_int());
+}
+
 TEST(EntryPath, DrainingTarget_GetsNoNewRequests) {
   StartServing();
   world->SetDraining("t-1");
