Limit the interim responses before a response

A target that sends 1xx responses without end kept an attempt, and the processor, busy until the request's time limit. After 16 the attempt fails, in both daemons.

--- a/modules/gg_entry/target_attempt.cc
+++ b/modules/gg_entry/target_attempt.cc
@@ -12,6 +12,10 @@
 /** Largest response body, as responses are held in memory. */
 constexpr uint64_t kMaxResponseBodyBytes = 16 * 1024 * 1024;
 
+/** Interim responses that are read before a response. A target sends at most a
+    few. */
+constexpr int kMaxInterimResponses = 16;
+
 /** Time without an acknowledgement after which a connection with unacknowledged
     bytes is closed. It is five times the longest round trip of present
     deployments, which leaves room for two lost packets. */
@@ -98,6 +102,10 @@
   }
   const bool is_interim = http::to_status_class(parser_->get().result()) ==
                           http::status_class::informational;
+  if (is_interim && ++interim_response_count_ > kMaxInterimResponses) {
+    Fail(AttemptFault::kMayHaveRun, "receive: too many interim responses");
+    return;
+  }
   if (is_interim) {
     Read();
     return;
--- a/modules/gg_entry/target_attempt.h
+++ b/modules/gg_entry/target_attempt.h
@@ -72,6 +72,7 @@
   asio::steady_timer connect_timer_;
   PooledConnectionPtr connection_;
   std::optional<http::response_parser<http::string_body>> parser_;
+  int interim_response_count_ = 0;
   bool uses_pooled_connection_ = false;
   bool is_sent_ = false;
   bool is_request_written_ = false;
--- a/modules/gg_http/target_exchange.cc
+++ b/modules/gg_http/target_exchange.cc
@@ -12,6 +12,10 @@
 
 constexpr uint32_t kMaxResponseHeaderBytes = 64 * 1024;
 
+/** Interim responses that are read before a response. A target sends at most a
+    few. */
+constexpr int kMaxInterimResponses = 16;
+
 template <bool kIsRequest, typename Body>
 void CopyHeader(const http::header<kIsRequest, http::fields>& from,
                 http::message<kIsRequest, Body>* to) {
@@ -92,7 +96,7 @@
     disconnect_monitor_->Start();
   }
   ErrorCode error;
-  for (;;) {
+  for (int interim_responses = 0;; ++interim_responses) {
     parser_.emplace();
     parser_->header_limit(kMaxResponseHeaderBytes);
     parser_->body_limit(kUnlimitedBody);
@@ -108,6 +112,11 @@
     const bool is_interim =
         http::to_status_class(status) == http::status_class::informational;
     if (!is_interim) co_return absl::OkStatus();
+    if (interim_responses == kMaxInterimResponses) {
+      co_return StepError(absl::StatusCode::kUnknown, Step::kForwardReceive,
+                          options_.target->address,
+                          "too many interim responses");
+    }
   }
 }
 
--- a/tests/entry/target_attempt_test.cc
+++ b/tests/entry/target_attempt_test.cc
@@ -54,6 +54,13 @@
   }
 };
 
+TEST(TargetAttempt, InterimResponsesWithoutEnd_FailTheAttempt) {
+  Run("", "HTTP/1.1 100 Continue\r\n\r\n");
+  CHECK_TRUE(outcome.has_value());
+  CHECK_FALSE(outcome->response.has_value());
+  CHECK_TRUE(outcome->fault == AttemptFault::kMayHaveRun);
+}
+
 TEST(TargetAttempt, ChunkExtensionWithoutEnd_FailsTheAttempt) {
   Run("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=",
       std::string(16 * 1024, 'a'));
