--- a/tests/scenario_runner/process.cc
+++ b/tests/scenario_runner/process.cc
@@ -37,6 +37,12 @@
       WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
 }
 
+void SuspendProcess(const Process& process) {
+  kill(process.pid, SIGSTOP);
+  siginfo_t stopped{};
+  waitid(P_PID, process.pid, &stopped, WSTOPPED);
+}
+
 void KillProcess(Process* process) {
   ReapProcess(process);
   if (process->exit_code || process->pid == 0) return;
--- a/tests/scenario_runner/scenario_runner.cc
+++ b/tests/scenario_runner/scenario_runner.cc
@@ -244,12 +244,11 @@
       throw StepFailure("unknown signal; use TERM, KILL, STOP or CONT");
     }
     Process& process = FindProcess(WordAt(words, 1));
-    kill(process.pid, signal->second);
     if (signal->second == SIGSTOP) {
-      // The process's threads may run on for a while after kill() returns.
-      siginfo_t stopped{};
-      waitid(P_PID, process.pid, &stopped, WSTOPPED);
+      SuspendProcess(process);
+      return;
     }
+    kill(process.pid, signal->second);
     if (signal->second != SIGKILL) return;
     waitpid(process.pid, nullptr, 0);
     process.exit_code = 128 + SIGKILL;
--- a/tests/soak/entry_soak.cc
+++ b/tests/soak/entry_soak.cc
@@ -8,7 +8,10 @@
 //   - after the faults every daemon becomes ready, has the newest configuration
 //     and serves requests;
 //   - a target that has left gets no requests after the maximum drain time;
-//   - a planned stop without faults interrupts no request.
+//   - a planned stop without faults interrupts no request;
+//   - nothing is sent for callers that left before their requests were read,
+//   and
+//     a read ends at its target when its caller leaves.
 // Prints each violation with its seed and exits with 1 if there was one.
 
 #include <CLI/CLI.hpp>
@@ -39,6 +42,13 @@
     it has left. */
 constexpr std::chrono::milliseconds kMaxDrainTime{2500};
 
+/** The operators require that a read ends at its target this long after its
+    caller has left. */
+constexpr std::chrono::milliseconds kMaxWorkAfterDeparture{500};
+
+/** Callers that leave at the same time. */
+constexpr int kDepartingCallers = 10;
+
 /** Time limit of every route. */
 constexpr int kTimeLimitMs = 600;
 
@@ -97,6 +107,7 @@
     EndFaults();
     std::this_thread::sleep_for(kRecoveryTime);
     CheckRecovery();
+    CheckCallerDeparture();
     CheckTargetDeparture();
     CheckPlannedStops();
     is_finished_ = true;
@@ -173,9 +184,9 @@
   }
 
   /** Writes the next version of the configuration to the store. */
-  void PutConfig() {
+  void PutConfig(int time_limit_ms = kTimeLimitMs) {
     ++config_version_;
-    platform_.PutConfig(config_version_, kTimeLimitMs,
+    platform_.PutConfig(config_version_, time_limit_ms,
                         static_cast<int>(config_version_));
   }
 
@@ -320,6 +331,19 @@
     }
   }
 
+  static http::request<http::string_body> MakeRequest(const std::string& id,
+                                                      bool is_order) {
+    http::request<http::string_body> request(
+        is_order ? http::verb::post : http::verb::get,
+        is_order ? "/order/" : "/read/", 11);
+    request.set(http::field::host, "shop.example");
+    request.set("Request-Id", id);
+    request.set("Deadline-Ms", "3000");
+    request.body() = is_order ? "two chests" : "";
+    if (is_order) request.prepare_payload();
+    return request;
+  }
+
   /** Sends a read or an order and returns the result. Reports a violation if
       the request was refused as not run but has run. */
   RequestResult SendRequest(const std::string& id, bool is_order,
@@ -328,15 +352,8 @@
     RequestResult result{.id = id,
                          .is_order = is_order,
                          .was_on_new_connection = connection->is_new};
-    http::request<http::string_body> request(
-        is_order ? http::verb::post : http::verb::get,
-        is_order ? "/order/" : "/read/", 11);
-    request.set(http::field::host, "shop.example");
-    request.set("Request-Id", id);
+    http::request<http::string_body> request = MakeRequest(id, is_order);
     request.set("Cookie", "Affinity-Key=" + affinity_key);
-    request.set("Deadline-Ms", "3000");
-    request.body() = is_order ? "two chests" : "";
-    if (is_order) request.prepare_payload();
     ErrorCode error;
     http::write(connection->socket, request, error);
     http::response<http::string_body> response;
@@ -405,6 +422,59 @@
     }
   }
 
+  /** Writes a request to a host without waiting for the response.
+      @return the open connection. */
+  std::unique_ptr<Connection> BeginRequest(const Host& host, bool is_order,
+                                           const std::string& id) {
+    auto connection = std::make_unique<Connection>();
+    ErrorCode error;
+    connection->socket.connect(*ParseEndpoint(host.ip + ":18080"), error);
+    if (!error)
+      http::write(connection->socket, MakeRequest(id, is_order), error);
+    if (error) ReportViolation("cannot send " + id + ": " + error.message());
+    return connection;
+  }
+
+  /** Lets callers leave while a host is suspended, and while their reads run.
+      Checks that none of the former is sent to a target and that the latter end
+      there in time. */
+  void CheckCallerDeparture() {
+    Host& host = hosts_[0];
+    scenario::SuspendProcess(host.process);
+    std::vector<std::string> ids;
+    for (int i = 0; i < kDepartingCallers; ++i) {
+      ids.push_back(absl::StrCat("departed-", i));
+      BeginRequest(host, i % 2 == 0, ids.back());
+    }
+    Sleep(300);
+    Signal(&host, SIGCONT);
+    Sleep(700);
+    for (const std::string& id : ids) {
+      if (HasRun(id)) ReportViolation("ran though its caller had left: " + id);
+    }
+    // Without the caller's departure the reads would run until the end.
+    constexpr int kWorkMs = 3000;
+    PutConfig(2 * kWorkMs);
+    Sleep(1000);
+    platform_.SetFaults({.work_ms = kWorkMs});
+    std::vector<std::unique_ptr<Connection>> connections;
+    for (std::string& id : ids) {
+      id = "running-" + id;
+      connections.push_back(BeginRequest(host, false, id));
+    }
+    Sleep(300);
+    connections.clear();
+    std::this_thread::sleep_for(kMaxWorkAfterDeparture);
+    platform_.SetFaults({});
+    PutConfig();
+    for (const std::string& id : ids) {
+      if (HasRun(id) && !platform_.WasAbandoned(id)) {
+        ReportViolation("ran on after its caller had left: " + id);
+      }
+    }
+    Sleep(kWorkMs);  // requests of the other callers
+  }
+
   /** Sets one target to draining and removes the registration of another. Both
       keep serving, but no request may reach them after kMaxDrainTime. */
   void CheckTargetDeparture() {
