Let an arriving response of a watch arrive

The time since the last bytes of the response now counts, so that only a silent watch is broken off. A relay that sends slowly is still left for the store.

--- a/modules/gg_entry/relayed_watch.cc
+++ b/modules/gg_entry/relayed_watch.cc
@@ -33,6 +33,10 @@
     return Watch(after, wait);
   };
   calls.cancel_watch = [this] { CancelWatch(); };
+  // A relay that is slow to send is left for the store.
+  calls.watch_progress_at = [this] {
+    return is_reading_relay_ ? TimePoint{} : store_.watch_progress_at();
+  };
   return calls;
 }
 
--- a/modules/gg_entry/store_sync.cc
+++ b/modules/gg_entry/store_sync.cc
@@ -61,7 +61,10 @@
     return;
   }
   if (!behind_since_) behind_since_ = now;
-  const TimePoint since = std::max(*behind_since_, watch_began_at_);
+  // A response that is still arriving brings the missing changes. Breaking it
+  // off would only make the next one longer.
+  const TimePoint since =
+      std::max({*behind_since_, watch_began_at_, store_.watch_progress_at()});
   if (now - since < options_.max_watch_lag) return;
   behind_since_.reset();
   cancelled_at_revision_ = peer_revision_;
--- a/tests/entry/store_sync_test.cc
+++ b/tests/entry/store_sync_test.cc
@@ -19,6 +19,7 @@
   int relayed_watches_left = 0;
   int read_calls = 0;
   bool is_store_down = false;
+  bool is_response_arriving = false;  // of the pending watch
   /** Expires, or is cancelled, when a pending watch ends. */
   asio::steady_timer watch_timer{io};
   std::unique_ptr<StoreSync> sync;
@@ -52,6 +53,11 @@
         },
         .watch = [this](uint64_t, Duration) { return Watch(); },
         .cancel_watch = [this] { watch_timer.cancel(); },
+        .watch_progress_at =
+            [this] {
+              return is_response_arriving ? std::chrono::steady_clock::now()
+                                          : TimePoint{};
+            },
         .put_member = [](Member, uint64_t) -> asio::awaitable<absl::Status> {
           co_return absl::OkStatus();
         },
@@ -115,6 +121,21 @@
   LONGS_EQUAL(2, watch_calls);
 }
 
+// Replays grown Gantnet's hunt-a329-3: a host with a slow link broke off the
+// responses with large configurations one after the other, and missed that a
+// target had left.
+TEST(StoreSync, WatchWhoseResponseIsStillArriving_IsNotCancelled) {
+  Start();
+  RunFor(std::chrono::milliseconds(200));
+  is_response_arriving = true;
+  sync->NotePeerRevision(25);
+  RunFor(std::chrono::milliseconds(1400));
+  LONGS_EQUAL(1, watch_calls);
+  is_response_arriving = false;
+  RunFor(std::chrono::milliseconds(1400));
+  LONGS_EQUAL(2, watch_calls);
+}
+
 // Replays Gantnet's scale-2, seed 241109170082: a cancelled watch was reported
 // as an unreachable store, which delayed the next watch.
 TEST(StoreSync, CancelledWatch_DoesNotMarkTheStoreUnreachable) {
