Relay the store's changes from the host with the fastest link of a zone

The daemon's entry in the store now states its link's rate, taken from the settings where they have it, and the fastest one relays; ties go by hash as before. Daemons of the last landing ignore the new field and choose by hash alone: each daemon serves whoever follows it, so a mixed fleet only has more relays. Evidence: HostWithTheFastestLink_IsUsedAsRelay fails with a choice by hash alone.

--- a/modules/gg_entry/entry_daemon.cc
+++ b/modules/gg_entry/entry_daemon.cc
@@ -51,7 +51,8 @@
           .peer_address = absl::StrCat(settings.ip, ":", settings.peer_port),
           .zone = settings.zone,
           .region = settings.region,
-          .incarnation = WallMicroseconds()};
+          .incarnation = WallMicroseconds(),
+          .link_mbps = settings.link_mbps};
 }
 
 SessionResponse MakeTextResponse(http::status status, std::string body,
--- a/modules/gg_entry/entry_settings.h
+++ b/modules/gg_entry/entry_settings.h
@@ -38,6 +38,7 @@
 
   int64_t memory_mb = 0;
   int64_t max_file_descriptors = 0;
+  double link_mbps = 0;  // rate of the host's network link; 0: unknown
 
   EntryBounds bounds;
 };
--- a/modules/gg_fleet/member.h
+++ b/modules/gg_fleet/member.h
@@ -14,6 +14,7 @@
   std::string zone;
   std::string region;
   uint64_t incarnation = 0;  // start time, Unix microseconds
+  double link_mbps = 0;      // rate of the host's network link; 0: unknown
 };
 
 }  // namespace greengage
--- a/modules/gg_fleet/member_registry.cc
+++ b/modules/gg_fleet/member_registry.cc
@@ -91,14 +91,19 @@
 
 std::string MemberRegistry::RelayAddress(TimePoint now) const {
   if (rows_.size() + 1 <= options_.max_members_without_relay) return {};
-  uint64_t lowest_hash = Hash64(options_.self.name);
+  // The fastest link comes first, as the relay sends every change to all
+  // daemons of its zone; then the lowest hash.
+  const auto rank = [](const Member& member) {
+    return std::pair(-member.link_mbps, Hash64(member.name));
+  };
+  auto best_rank = rank(options_.self);
   std::string address;
   for (const auto& [name, row] : rows_) {
     const bool can_relay = row.member.zone == options_.self.zone &&
                            row.is_in_store && !row.is_leaving &&
                            row.store_reachable && HasRecentHeartbeat(row, now);
-    if (!can_relay || Hash64(name) >= lowest_hash) continue;
-    lowest_hash = Hash64(name);
+    if (!can_relay || rank(row.member) >= best_rank) continue;
+    best_rank = rank(row.member);
     address = row.member.peer_address;
   }
   return address;
--- a/tests/entry/change_relay_test.cc
+++ b/tests/entry/change_relay_test.cc
@@ -102,6 +102,28 @@
   LONGS_EQUAL(1, relays.size());
 }
 
+// Replays grown Gantnet's hunt-a329-3: a relay with a link of 10 Mbit/s took
+// seconds to send a large configuration to the daemons of its zone.
+TEST(MemberRelay, HostWithTheFastestLink_IsUsedAsRelay) {
+  for (const std::string& fastest : names) {
+    for (const std::string& self : names) {
+      Member own = MakeMember(self);
+      own.link_mbps = self == fastest ? 200 : 10;
+      MemberRegistry registry({.self = own, .max_members_without_relay = 3});
+      for (const std::string& other : names) {
+        if (other == self) continue;
+        ReceiveHeartbeat(&registry, other, true);
+        Member member = MakeMember(other);
+        member.link_mbps = other == fastest ? 200 : 10;
+        registry.Put(member, At(0));
+      }
+      const std::string expected =
+          self == fastest ? "" : MakeMember(fastest).peer_address;
+      STRCMP_EQUAL(expected.c_str(), registry.RelayAddress(At(0.5)).c_str());
+    }
+  }
+}
+
 TEST(MemberRelay, DaemonWithoutStoreOrHeartbeats_IsNotUsedAsRelay) {
   for (const std::string& self : names) {
     MemberRegistry registry = Registry(self, 3);
--- a/tests/entry/platform_codec_test.cc
+++ b/tests/entry/platform_codec_test.cc
@@ -30,10 +30,18 @@
   CHECK_TRUE(settings.ok());
   STRCMP_EQUAL("front-1", settings->host_name.c_str());
   LONGS_EQUAL(7660, settings->peer_port);
+  DOUBLES_EQUAL(0, settings->link_mbps, 0);
   LONGS_EQUAL(2, settings->zone_regions.size());
   CHECK_TRUE(settings->bounds.stop_grace_period == std::chrono::seconds(6));
 }
 
+TEST(SettingsReader, LinkRate_IsOptional) {
+  const auto settings =
+      platform::ParseSettingsText(text + "self.limits.linkMbps=10.0\n");
+  CHECK_TRUE(settings.ok());
+  DOUBLES_EQUAL(10, settings->link_mbps, 0);
+}
+
 TEST(SettingsReader, MissingKey_IsNamed) {
   CHECK_TRUE(Contains(ErrorWithout("self.zone=north-a\n"), "self.zone"));
   CHECK_TRUE(
@@ -127,11 +135,13 @@
                       .peer_address = "10.0.0.1:7000",
                       .zone = "north-a",
                       .region = "north",
-                      .incarnation = 5};
+                      .incarnation = 5,
+                      .link_mbps = 200};
   const auto decoded =
       platform::DecodeMember("front-1", platform::EncodeMember(member));
   CHECK_TRUE(decoded.ok());
   LONGS_EQUAL(5, decoded->incarnation);
+  DOUBLES_EQUAL(200, decoded->link_mbps, 0);
   STRCMP_EQUAL("10.0.0.1:7000", decoded->peer_address.c_str());
 }
 
