Limit the memory of all response bodies that are being read

Bytes that are no answer may come without end as a body, from many targets at once. Each response was limited to 16 MiB, their sum was not: a few dozen such attempts on a fast link exhaust a host with 260 MB. Evidence: BodyWithoutEnd_StaysWithinTheBudgetOfAllAttempts fails without the budget (the attempt ends at 16 MiB). Not limited: responses that are complete and wait to be written to callers.

--- a/modules/gg_entry/entry_traffic.h
+++ b/modules/gg_entry/entry_traffic.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "gg_entry/byte_budget.h"
 #include "gg_entry/entry_settings.h"
 #include "gg_entry/http_session.h"
 #include "gg_entry/idle_connection_pool.h"
@@ -72,6 +73,7 @@
   TargetPicker& picker() { return *picker_; }
   IdleConnectionPool& idle_connections() { return idle_connections_; }
   FleetRetryBudget& retry_budget() { return retry_budget_; }
+  ByteBudget& response_budget() { return response_budget_; }
   Random& random() { return random_; }
 
   /** Returns the service for the next request of `route`, in proportion to the
@@ -96,6 +98,7 @@
   IdleConnectionPool idle_connections_;
   std::map<std::string, WeightedRoundRobin> service_choices_;  // by route
   std::map<std::string, double> typical_seconds_;              // by route
+  ByteBudget response_budget_;
   Random random_;
   bool is_draining_ = false;
 };
--- a/modules/gg_entry/target_attempt.cc
+++ b/modules/gg_entry/target_attempt.cc
@@ -75,31 +75,57 @@
   http::async_write(
       connection_->socket, *request_,
       [self = shared_from_this()](const ErrorCode& error, size_t) {
-        // A write error is not final: the target may have
-        // responded before it closed the connection, which the
-        // read shows.
+        // A write error is not final: the target may have responded before it
+        // closed the connection, which the read shows.
         if (!error) self->is_request_written_ = true;
       });
-  Read();
+  ReadResponse();
 }
 
-void TargetAttempt::Read() {
+void TargetAttempt::ReadResponse() {
   parser_.emplace();
   parser_->header_limit(kMaxResponseHeaderBytes);
   parser_->body_limit(kMaxResponseBodyBytes);
   if (request_->method() == http::verb::head) parser_->skip(true);
-  http::async_read(connection_->socket, connection_->buffer, *parser_,
-                   [self = shared_from_this()](const ErrorCode& error, size_t) {
-                     self->OnRead(error);
-                   });
+  parser_->eager(true);
+  ReadSome();
 }
 
-void TargetAttempt::OnRead(const ErrorCode& error) {
+void TargetAttempt::ReadSome() {
+  http::async_read_some(
+      connection_->socket, connection_->buffer, *parser_,
+      [self = shared_from_this()](const ErrorCode& error, size_t) {
+        self->OnReadSome(error);
+      });
+}
+
+void TargetAttempt::OnReadSome(const ErrorCode& error) {
   if (is_done_) return;
   if (error) {
     Fail(AttemptFault::kMayHaveRun, absl::StrCat("receive: ", error.message()));
-    return;
+  } else if (!TakeBodyBytes()) {
+    Fail(AttemptFault::kMayHaveRun,
+         "receive: no memory left for response bodies");
+  } else if (parser_->is_done()) {
+    OnResponse();
+  } else {
+    ReadSome();
   }
+}
+
+bool TargetAttempt::TakeBodyBytes() {
+  const size_t growth = parser_->get().body().size() - taken_bytes_;
+  if (!options_.response_budget->TryTake(growth)) return false;
+  taken_bytes_ += growth;
+  return true;
+}
+
+void TargetAttempt::ReturnBodyBytes() {
+  options_.response_budget->Return(taken_bytes_);
+  taken_bytes_ = 0;
+}
+
+void TargetAttempt::OnResponse() {
   const bool is_interim = http::to_status_class(parser_->get().result()) ==
                           http::status_class::informational;
   if (is_interim && ++interim_response_count_ > kMaxInterimResponses) {
@@ -107,7 +133,7 @@
     return;
   }
   if (is_interim) {
-    Read();
+    ReadResponse();
     return;
   }
   AttemptOutcome outcome;
@@ -128,6 +154,7 @@
 }
 
 void TargetAttempt::Finish(AttemptOutcome outcome) {
+  ReturnBodyBytes();
   const auto on_done = std::move(options_.on_done);
   const bool is_reusable = outcome.reusable_connection != nullptr;
   if (is_reusable) {
@@ -140,6 +167,7 @@
 }
 
 void TargetAttempt::Cancel() {
+  ReturnBodyBytes();
   is_done_ = true;
   options_.on_done = nullptr;
   options_.make_request = nullptr;
--- a/modules/gg_entry/target_attempt.h
+++ b/modules/gg_entry/target_attempt.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "gg_entry/byte_budget.h"
 #include "gg_entry/pooled_connection.h"
 #include "gg_request/attempt_policy.h"
 
@@ -41,6 +42,8 @@
         without a call of `on_done`. */
     std::function<std::shared_ptr<const TargetRequest>()> make_request;
     Duration connect_timeout{};
+    /** Limits the response bodies that are read at the same time. Not owned. */
+    ByteBudget* response_budget = nullptr;
     std::function<void(AttemptOutcome outcome)> on_done;  // called once
   };
 
@@ -61,8 +64,13 @@
 
  private:
   void Send();
-  void Read();
-  void OnRead(const ErrorCode& error);
+  void ReadResponse();
+  void ReadSome();
+  void OnReadSome(const ErrorCode& error);
+  void OnResponse();
+  /** Takes the bytes by which the body has grown from the budget. */
+  bool TakeBodyBytes();
+  void ReturnBodyBytes();
   void Fail(AttemptFault fault, const std::string& reason,
             bool is_connection_refused = false);
   void Finish(AttemptOutcome outcome);
@@ -73,6 +81,7 @@
   PooledConnectionPtr connection_;
   std::optional<http::response_parser<http::string_body>> parser_;
   int interim_response_count_ = 0;
+  size_t taken_bytes_ = 0;  // from the budget
   bool uses_pooled_connection_ = false;
   bool is_sent_ = false;
   bool is_request_written_ = false;
--- a/tests/entry/target_attempt_test.cc
+++ b/tests/entry/target_attempt_test.cc
@@ -12,6 +12,7 @@
 TEST_GROUP(TargetAttempt) {
   asio::io_context io;
   asio::ip::tcp::acceptor acceptor{io, *ParseEndpoint(kAddress)};
+  ByteBudget response_budget{64 * 1024 * 1024};
   size_t sent_bytes = 0;
   std::optional<AttemptOutcome> outcome;
 
@@ -41,6 +42,7 @@
         .endpoint = acceptor.local_endpoint(),
         .make_request = [request] { return request; },
         .connect_timeout = std::chrono::seconds(1),
+        .response_budget = &response_budget,
         .on_done =
             [&](AttemptOutcome result) { outcome = std::move(result); }});
     attempt->Start();
@@ -75,6 +77,21 @@
   CHECK_FALSE(outcome->response.has_value());
 }
 
+// Attempts that each stay below the limit of one response must not exhaust the
+// memory together.
+TEST(TargetAttempt, BodyWithoutEnd_StaysWithinTheBudgetOfAllAttempts) {
+  constexpr size_t kLimit = 4 * 1024 * 1024;
+  response_budget = ByteBudget(kLimit);
+  CHECK_TRUE(response_budget.TryTake(kLimit - 1024 * 1024));
+  Run("HTTP/1.1 200 OK\r\n\r\n", std::string(64 * 1024, 'a'));
+  CHECK_TRUE(outcome.has_value());
+  CHECK_FALSE(outcome->response.has_value());
+  STRCMP_EQUAL("receive: no memory left for response bodies",
+               outcome->reason.c_str());
+  // The bytes of the failed attempt are available again.
+  CHECK_TRUE(response_budget.TryTake(1024 * 1024));
+}
+
 TEST(TargetAttempt, BodyWithoutEnd_FailsTheAttempt) {
   Run("HTTP/1.1 200 OK\r\n\r\n", std::string(64 * 1024, 'a'));
   CHECK_TRUE(outcome.has_value());
