Count a request's time from its arrival, and refuse one whose time has passed

A daemon that was behind took a request for new when it read it, told the target that all of the caller's time was left, and sent on requests whose time had passed. The age of the bytes in the socket (TCP_INFO) now counts; a request without time left is refused as not run before an attempt, and again after a connection was opened. Evidence: RequestWhoseTimePassedUnread_IsRefusedAsNotRun got 200 before and passes.

--- a/modules/gg_entry/forwarded_request.cc
+++ b/modules/gg_entry/forwarded_request.cc
@@ -124,6 +124,10 @@
 
 void ForwardedRequest::StartNextAttempt(TimePoint now) {
   if (EndIfCallerGone()) return;
+  if (TimeLeft(now) <= Duration::zero()) {
+    OnDeadline();
+    return;
+  }
   const Pick pick = traffic_->picker().Choose({.route = route_,
                                                .service = service_,
                                                .object = caller_fields_.object,
@@ -179,6 +183,10 @@
 std::shared_ptr<const TargetRequest> ForwardedRequest::MakeTargetRequest() {
   const bool was_checked_just_now = attempt_->uses_pooled_connection();
   if (!was_checked_just_now && EndIfCallerGone()) return nullptr;
+  if (TimeLeft(Now()) <= Duration::zero()) {
+    OnDeadline();
+    return nullptr;
+  }
   auto request =
       std::make_shared<TargetRequest>(request_.method(), request_.target(), 11);
   request->method_string(request_.method_string());
--- a/modules/gg_entry/forwarded_request.h
+++ b/modules/gg_entry/forwarded_request.h
@@ -29,7 +29,8 @@
   void StartNextAttempt(TimePoint now);
   void StartAttempt(const Pick& pick, TimePoint now);
   /** Returns the request for the target of the current attempt, or nullptr when
-      the caller has disconnected while the connection was opened. */
+      the caller has disconnected or the time has passed while the connection
+      was opened. */
   std::shared_ptr<const TargetRequest> MakeTargetRequest();
   void OnOutcome(AttemptOutcome outcome);
   /** Checks a target's response, records the load that it reports, and returns
--- a/modules/gg_entry/http_session.cc
+++ b/modules/gg_entry/http_session.cc
@@ -85,7 +85,8 @@
   last_read_at_ = Now();
   if (phase_ == Phase::kIdle) {
     phase_ = Phase::kReading;
-    phase_began_at_ = request_began_at_ = last_read_at_;
+    phase_began_at_ = last_read_at_;
+    request_began_at_ = last_read_at_ - TimeSinceLastReceived(socket_);
   }
   if (phase_ == Phase::kReading) {
     Parse();
--- a/modules/gg_entry/http_session.h
+++ b/modules/gg_entry/http_session.h
@@ -86,7 +86,8 @@
     return phase_ == Phase::kHandling || phase_ == Phase::kWriting;
   }
 
-  /** Time at which the first byte of the current request arrived. */
+  /** Time at which the first bytes of the current request arrived. They may
+     have been read later. */
   TimePoint request_began_at() const { return request_began_at_; }
 
   /** Address of the caller, "ip:port". */
--- a/modules/gg_store/asio.cc
+++ b/modules/gg_store/asio.cc
@@ -1,5 +1,6 @@
 #include "gg_store/asio.h"
 
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -36,4 +37,13 @@
   return ::poll(&descriptor, 1, 0) > 0;
 }
 
+Duration TimeSinceLastReceived(asio::ip::tcp::socket& socket) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  const int result =
+      ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
+  if (result != 0) return Duration::zero();
+  return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
 }  // namespace greengage
--- a/modules/gg_store/asio.h
+++ b/modules/gg_store/asio.h
@@ -51,6 +51,10 @@
     that it sent before are still unread. Does not block. */
 bool HasPeerClosed(asio::ip::tcp::socket& socket);
 
+/** Returns the time since the newest bytes of the connection arrived, whether
+   or not they have been read; zero when the system does not tell. */
+Duration TimeSinceLastReceived(asio::ip::tcp::socket& socket);
+
 }  // namespace greengage
 
 #endif  // GG_STORE_ASIO_H_
--- a/tests/entry/entry_path_fixture.h
+++ b/tests/entry/entry_path_fixture.h
@@ -128,7 +128,8 @@
       response. */
   Response SendRequest(http::verb method, const std::string& address,
                        const std::string& path, const std::string& id,
-                       const std::string& body = "") {
+                       const std::string& body = "",
+                       const std::string& deadline_ms = "4000") {
     asio::io_context io;
     asio::ip::tcp::socket socket(io);
     Response response;
@@ -140,7 +141,7 @@
     request.set(http::field::host, "shop.example");
     request.set("Request-Id", id);
     request.set("Cookie", "Affinity-Key=7");
-    request.set("Deadline-Ms", "4000");
+    request.set("Deadline-Ms", deadline_ms);
     request.body() = body;
     if (method == http::verb::post) request.prepare_payload();
     http::write(socket, request, error);
--- a/tests/entry/entry_path_test.cc
+++ b/tests/entry/entry_path_test.cc
@@ -96,6 +96,18 @@
   }));
 }
 
+// A daemon that was behind sent requests on as if they had just arrived.
+TEST(EntryPath, RequestWhoseTimePassedUnread_IsRefusedAsNotRun) {
+  StartServing(4000);
+  StallDaemon(std::chrono::milliseconds(700));
+  last_id = "expired";
+  const Response response = SendRequest(http::verb::post, kTrafficAddress,
+                                        "/order/", last_id, "two", "300");
+  LONGS_EQUAL(503, response.result_int());
+  CHECK_FALSE(response[http::field::retry_after].empty());
+  LONGS_EQUAL(0, world->RunCount(last_id));
+}
+
 TEST(EntryPath, TargetFailure_IsForwardedUnchanged) {
   StartServing();
   const Response response = SendOrder("fail");
--- a/tests/scenario_runner/process.h
+++ b/tests/scenario_runner/process.h
@@ -25,8 +25,8 @@
 /** Sets `exit_code` if the process has exited. Does not block. */
 void ReapProcess(Process* process);
 
-/** Sends SIGSTOP and waits until all threads of the process are stopped. They may
-    run on for a while after the signal is sent. */
+/** Sends SIGSTOP and waits until all threads of the process are stopped. They
+   may run on for a while after the signal is sent. */
 void SuspendProcess(const Process& process);
 
 /** Kills the process if it is still running, and waits until it has exited. */
