Do not close an idle connection on which a request lies unread

A stop closes idle connections; where the daemon is behind, a request may have arrived on one and not been read. The idle timeout had the same fault. The connection is closed only if nothing lies unread; otherwise the request is read and answered, with Connection: close during a stop. Evidence: RequestUnreadWhenIdleConnectionsAreClosed_IsAnswered and RequestUnreadAtTheIdleTimeout_IsAnswered fail without the check.

--- a/modules/gg_entry/http_session.cc
+++ b/modules/gg_entry/http_session.cc
@@ -214,7 +214,7 @@
   const TrafficLimits limits = options_.limits();
   switch (phase_) {
     case Phase::kIdle:
-      if (now - phase_began_at_ > limits.idle_timeout) Close();
+      if (now - phase_began_at_ > limits.idle_timeout) CloseIfNothingUnread();
       break;
     case Phase::kReading:
       if (!parser_->is_header_done()) {
@@ -242,7 +242,12 @@
 
 void HttpSession::CloseWhenIdle() {
   close_when_idle_ = true;
-  if (phase_ == Phase::kIdle) Close();
+  if (phase_ == Phase::kIdle) CloseIfNothingUnread();
+}
+
+void HttpSession::CloseIfNothingUnread() {
+  // A request that lies unread is read next, and then answered.
+  if (IsOpenAndIdle(socket_)) Close();
 }
 
 void HttpSession::Abort() { Close(); }
--- a/modules/gg_entry/http_session.h
+++ b/modules/gg_entry/http_session.h
@@ -105,6 +105,8 @@
   void BeginNextRequest();
   void Linger();
   void Close();
+  /** Closes an idle connection unless a part of a request has arrived. */
+  void CloseIfNothingUnread();
   /** Closes the connection, and calls the hook if a request was being
       handled. */
   void CloseAndReport();
--- /dev/null
+++ b/tests/entry/http_session_test.cc
@@ -0,0 +1,74 @@
+#include "gg_entry/http_listener.h"
+#include "unit/test_support.h"
+
+namespace greengage {
+namespace {
+
+constexpr char kAddress[] = "127.0.7.6:18211";
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+/** A listener with one idle connection of a caller. The test runs the event
+   loop, so that input stays unread until then. */
+TEST_GROUP(HttpSession) {
+  asio::io_context io;
+  TrafficLimits limits;
+  HttpListener listener{
+      &io,
+      {.address = kAddress,
+       .handler =
+           [](const HttpSessionPtr& session, const SessionRequest&) {
+             SessionResponse response(http::status::ok, 11);
+             response.prepare_payload();
+             session->Respond(std::move(response), false);
+           },
+       .limits = [this] { return limits; },
+       .max_sessions = 10}};
+  asio::ip::tcp::socket caller{io};
+
+  void setup() override {
+    CHECK_TRUE(listener.Start().ok());
+    caller.connect(*ParseEndpoint(kAddress));
+    RunEventLoop();
+  }
+
+  void RunEventLoop() { io.run_for(std::chrono::milliseconds(50)); }
+
+  void SendRequest() {
+    const std::string request = "GET /read/ HTTP/1.1\r\nHost: shop\r\n\r\n";
+    asio::write(caller, asio::buffer(request));
+  }
+
+  /** Returns the first bytes of the response; empty if the connection was
+      closed. */
+  std::string ReadResponse() {
+    RunEventLoop();
+    std::string text(64, '\0');
+    ErrorCode error;
+    text.resize(caller.read_some(asio::buffer(text), error));
+    return text;
+  }
+};
+
+// Replays grown Gantnet's hunt-eb89-3: a daemon that was stopping closed a kept
+// connection on which a request lay unread.
+TEST(HttpSession, RequestUnreadWhenIdleConnectionsAreClosed_IsAnswered) {
+  SendRequest();
+  listener.CloseIdle();
+  CHECK_TRUE(ReadResponse().starts_with("HTTP/1.1 200"));
+}
+
+TEST(HttpSession, RequestUnreadAtTheIdleTimeout_IsAnswered) {
+  limits.idle_timeout = std::chrono::milliseconds(10);
+  SendRequest();
+  listener.CheckTimeouts(Now() + std::chrono::seconds(1));
+  CHECK_TRUE(ReadResponse().starts_with("HTTP/1.1 200"));
+}
+
+TEST(HttpSession, IdleConnection_IsClosed) {
+  listener.CloseIdle();
+  STRCMP_EQUAL("", ReadResponse().c_str());
+}
+
+}  // namespace
+}  // namespace greengage
