--- a/modules/gg_entry/byte_budget.h
+++ b/modules/gg_entry/byte_budget.h
@@ -10,8 +10,8 @@
  public:
   explicit ByteBudget(size_t limit) : limit_(limit) {}
 
-  /** Takes `bytes` from the budget. Returns false and takes nothing if fewer
-     are left. */
+  /** Takes `bytes` from the budget.
+      @return false, with nothing taken, if fewer are left. */
   bool TryTake(size_t bytes) {
     if (bytes > limit_ - used_) return false;
     used_ += bytes;
--- a/modules/gg_entry/entry_platform.h
+++ b/modules/gg_entry/entry_platform.h
@@ -29,8 +29,8 @@
       watch;
   /** Cancels a pending watch. */
   std::function<void()> cancel_watch;
-  /** Returns when a watch last received a part of its response; a time before
-      the first watch if none has. */
+  /** Returns when a watch last received a part of its response; TimePoint{} if
+      none has yet. */
   std::function<TimePoint()> watch_progress_at;
   /** Writes a daemon's entry, which lasts as long as its lease. */
   std::function<asio::awaitable<absl::Status>(Member member, uint64_t lease)>
--- a/modules/gg_entry/http_session.h
+++ b/modules/gg_entry/http_session.h
@@ -86,8 +86,8 @@
     return phase_ == Phase::kHandling || phase_ == Phase::kWriting;
   }
 
-  /** Time at which the first bytes of the current request arrived. They may
-     have been read later. */
+  /** Time at which the first bytes of the current request arrived, also when
+      they were read later. */
   TimePoint request_began_at() const { return request_began_at_; }
 
   /** Address of the caller, "ip:port". */
--- a/tests/scenario_runner/scenario_runner.cc
+++ b/tests/scenario_runner/scenario_runner.cc
@@ -399,9 +399,8 @@
         std::regex("\\\\n"), "\n");
   }
 
-  /** leave WHERE COUNT TEXT: sends TEXT as it is on COUNT connections and
-     closes each without waiting for a response. TEXT is written as for `raw`.
-   */
+  /** leave WHERE COUNT TEXT: sends TEXT, written as for `raw`, on COUNT
+      connections and closes each without waiting for a response. */
   void SendAndLeave(const Words& words) {
     const std::string address = AddressOf(WordAt(words, 1));
     const std::string text = Unescape(WordAt(words, 3));
