Log the rate limits that targets name

The logs could not tell when a host learned of a target's rate limit, or whether it did at all. Nothing acts on it yet.

--- a/modules/gg_entry/forwarded_request.cc
+++ b/modules/gg_entry/forwarded_request.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "gg_http/header_policy.h"
@@ -240,6 +241,7 @@
   } else if (IsSuccess(response.result()) && !fields.is_signed) {
     *rejection = "a success without signature";
   }
+  RecordRateLimit(fields, rejection->empty());
   if (outcome->reusable_connection != nullptr) {
     traffic_->idle_connections().Put(
         TargetKey(), std::move(outcome->reusable_connection),
@@ -248,6 +250,31 @@
   return rejection->empty();
 }
 
+void ForwardedRequest::RecordRateLimit(const TargetFields& fields,
+                                       bool is_accepted) {
+  // Another target has the address now; its answer tells nothing of this one.
+  if (fields.is_misdirected) return;
+  const TargetStatus& row = traffic_->board().row(target_row_);
+  if (!fields.invalid_rate_limit.empty()) {
+    LogEvent(LogLevel::kWarning, Event::kTargetRateLimitInvalid,
+             absl::StrCat("target=", row.target.record.id, " value=\"",
+                          absl::CHexEscape(fields.invalid_rate_limit), "\""));
+    return;
+  }
+  if (!fields.rate_limit && !is_accepted) return;
+  const auto previous = row.rate_limit;
+  if (!traffic_->board().RecordRateLimit(target_row_, fields.rate_limit)) {
+    return;
+  }
+  LogEvent(LogLevel::kInfo,
+           fields.rate_limit ? Event::kTargetRateLimited
+                             : Event::kTargetRateLimitEnded,
+           absl::StrCat("target=", row.target.record.id,
+                        " limit=", fields.rate_limit.value_or(0),
+                        " previous=", previous.value_or(0),
+                        " id=", caller_fields_.request_id));
+}
+
 void ForwardedRequest::OnOutcome(AttemptOutcome outcome) {
   const TimePoint now = Now();
   const std::shared_ptr<TargetAttempt> ended = std::move(attempt_);
--- a/modules/gg_entry/forwarded_request.h
+++ b/modules/gg_entry/forwarded_request.h
@@ -39,6 +39,10 @@
       @return whether the response can be used. */
   bool AcceptResponse(AttemptOutcome* outcome, TimePoint now,
                       std::string* rejection, TargetFields* fields);
+  /** Records the rate limit that a response names.
+      @param is_accepted  the response is the target's own answer; only such a
+             response without a limit shows that there is none. */
+  void RecordRateLimit(const TargetFields& fields, bool is_accepted);
   void OnFault(AttemptFault fault, const std::string& reason, TimePoint now);
   void OnDeadline();
   void OnCallerGone();
--- a/modules/gg_entry/message_codec.h
+++ b/modules/gg_entry/message_codec.h
@@ -26,6 +26,10 @@
   bool is_misdirected = false;  // another target has the address now
   bool has_content_encoding = false;  // the body is not in identity encoding
   std::optional<double> load;  // requests running and queued at the target
+  /** Requests per second that the target takes from all daemons together. */
+  std::optional<double> rate_limit;
+  /** The value of a rate limit that can't be read; empty when there is none. */
+  std::string invalid_rate_limit;
   /** How long the target keeps an idle connection open. */
   std::optional<Duration> keep_alive_timeout;
 };
--- a/modules/gg_request/target_status_table.cc
+++ b/modules/gg_request/target_status_table.cc
@@ -183,6 +183,13 @@
   rows_[row].reported_at = now;
 }
 
+bool TargetStatusTable::RecordRateLimit(size_t row,
+                                        std::optional<double> limit) {
+  const bool is_changed = rows_[row].rate_limit != limit;
+  rows_[row].rate_limit = limit;
+  return is_changed;
+}
+
 double TargetStatusTable::Utilization(const TargetStatus& row,
                                       TimePoint now) const {
   double requests = row.own_in_flight + row.peers_in_flight;
--- a/tests/entry/platform_codec_test.cc
+++ b/tests/entry/platform_codec_test.cc
@@ -194,6 +194,31 @@
   CHECK_FALSE(Answer(http::status::ok, {{"Upstream-Load", "x"}}).load);
 }
 
+TEST(MessageCodec, RateLimit_IsDecoded) {
+  const auto decode = [&](const std::string& value) {
+    return Answer(http::status::ok, {{"Server-Limit", value}});
+  };
+  DOUBLES_EQUAL(6.4, *decode("6.4").rate_limit, 1e-9);
+  DOUBLES_EQUAL(0, *decode("0").rate_limit, 1e-9);
+  DOUBLES_EQUAL(1e12, *decode(" 1e12 ").rate_limit, 1);
+  CHECK_FALSE(Answer(http::status::ok, {}).rate_limit);
+  CHECK_TRUE(Answer(http::status::ok, {}).invalid_rate_limit.empty());
+  for (const char* invalid : {"-1", "nan", "inf", "many", "", "3,4"}) {
+    CHECK_FALSE(decode(invalid).rate_limit);
+    CHECK_FALSE(decode(invalid).invalid_rate_limit.empty());
+  }
+}
+
+TEST(MessageCodec, RepeatedRateLimit_IsValidOnlyWithOneValue) {
+  http::response<http::string_body> answer(http::status::ok, 11);
+  answer.insert("Server-Limit", "3.5");
+  answer.insert("Server-Limit", "3.5");
+  DOUBLES_EQUAL(3.5, *codec.decode_target_fields(answer.base()).rate_limit,
+                1e-9);
+  answer.insert("Server-Limit", "4");
+  CHECK_FALSE(codec.decode_target_fields(answer.base()).rate_limit);
+}
+
 TEST(MessageCodec, Lookup_IsDecodedAndEncoded) {
   const auto query = codec.decode_lookup_query(
       "/-/resolve?name=a.example&region=north&zone=n-a");
