Reproduce requests beyond the rate limits that targets name

One daemon, two targets that name 2 requests a second each, a caller with 20 a second: a target may receive 17 in 4 s, and receives more.

--- a/tests/standins/platform_standin.cc
+++ b/tests/standins/platform_standin.cc
@@ -176,6 +176,21 @@
   return found == run_counts_.end() ? 0 : found->second;
 }
 
+int PlatformStandin::MaxLimitedArrivals(Duration window,
+                                        Duration warm_up) const {
+  const std::lock_guard lock(mutex_);
+  int most = 0;
+  for (const auto& [id, arrivals] : limited_arrivals_) {
+    for (auto last = arrivals.begin(); last != arrivals.end(); ++last) {
+      if (*last < arrivals.front() + warm_up) continue;
+      const auto first =
+          std::lower_bound(arrivals.begin(), last, *last - window);
+      most = std::max(most, static_cast<int>(last - first) + 1);
+    }
+  }
+  return most;
+}
+
 bool PlatformStandin::WasAbandoned(const std::string& request_id) const {
   const std::lock_guard lock(mutex_);
   return abandoned_ids_.count(request_id) != 0;
@@ -375,6 +390,7 @@
     if (departure != departure_times_.end()) {
       times_since_departure_.push_back(Now() - departure->second);
     }
+    if (faults_.rate_limit > 0) limited_arrivals_[id].push_back(Now());
     if (behaviour != "shed") ++run_counts_[HeaderField(*request, "Request-Id")];
   }
   co_return co_await RespondAsTarget(id, behaviour, connection, request);
@@ -399,12 +415,15 @@
     std::string id, std::string behaviour, ClientConnection* connection,
     RequestParser* request) {
   int work_ms = 0;
+  double rate_limit = 0;
   {
     const std::lock_guard lock(mutex_);
+    rate_limit = faults_.rate_limit;
     work_ms = behaviour == "slow" ? 3000 : faults_.work_ms;
   }
   const std::string request_id = HeaderField(*request, "Request-Id");
   http::response<http::string_body> response(http::status::ok, 11);
+  if (rate_limit > 0) response.set("Server-Limit", std::to_string(rate_limit));
   response.set("Request-Id", request_id);
   if (behaviour == "shed") {
     response.result(http::status::service_unavailable);
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -25,6 +25,7 @@
   double truncate = 0;     // run the request and send an incomplete response
   double wrong_request_id = 0;  // respond with the ID of another request
   int work_ms = 2;              // time to process a request
+  double rate_limit = 0;        // named in every response, per second; 0: none
 };
 
 /** Simulates the platform in one process: its key-value store and the targets
@@ -90,6 +91,10 @@
   /** Returns how many times all targets together ran the request. */
   int RunCount(const std::string& request_id) const;
 
+  /** Returns the largest number of requests that one target received within
+      `window`, after the first `warm_up` in which it named its rate limit. */
+  int MaxLimitedArrivals(Duration window, Duration warm_up) const;
+
   /** Returns whether a target noticed, while it ran the request, that the
       connection had been closed, and stopped. */
   bool WasAbandoned(const std::string& request_id) const;
@@ -156,6 +161,8 @@
   std::map<std::string, TimePoint> departure_times_;
   std::vector<Duration> times_since_departure_;
   TargetFaults faults_;
+  /** Arrivals at each target while it names a rate limit, by target. */
+  std::map<std::string, std::vector<TimePoint>> limited_arrivals_;
   std::map<std::string, int> run_counts_;
   std::set<std::string> abandoned_ids_;  // of requests
   std::atomic<int64_t> store_call_count_ = 0;
