Keep all daemons together within the rates that targets name

Cause: no daemon acted on the limit.

TargetRateLimiter: daemons tell each other limits, demand and requests by heartbeat. Each admits the fraction of its own demand that the limit is of the fleet's, and nothing while the requests of all in 4 s exceed the bound. Daemons that are not heard count as the average, or as their last report if that is more. A request that is not admitted goes to another target of its region; if there is none, it is refused at once and told when the next one is admitted.

--- a/modules/gg_entry/entry_daemon.cc
+++ b/modules/gg_entry/entry_daemon.cc
@@ -83,7 +83,7 @@
                     .incarnation = self.incarnation,
                     .ip = settings.ip,
                     .port = settings.peer_port},
-                   &traffic.board(),
+                   &traffic.board(), &traffic.rate_limiter(),
                    {.on_event =
                         [this](FleetEvent event) {
                           fleet_control.Send({std::move(event)});
--- a/modules/gg_entry/entry_traffic.h
+++ b/modules/gg_entry/entry_traffic.h
@@ -71,6 +71,7 @@
   bool is_draining() const { return is_draining_; }
   TargetStatusTable& board() { return board_; }
   TargetPicker& picker() { return *picker_; }
+  TargetRateLimiter& rate_limiter() { return picker_->rate_limiter(); }
   IdleConnectionPool& idle_connections() { return idle_connections_; }
   FleetRetryBudget& retry_budget() { return retry_budget_; }
   ByteBudget& response_budget() { return response_budget_; }
--- a/modules/gg_entry/forwarded_request.cc
+++ b/modules/gg_entry/forwarded_request.cc
@@ -62,6 +62,7 @@
 
 Duration ForwardedRequest::RetryAfterPause(TimePoint now) const {
   RefusalState state{.utilization = refused_utilization_,
+                     .admission_delay = admission_delay_,
                      .time_left = TimeLeft(now)};
   if (route_ != nullptr) {
     state.usual_response_time = traffic_->TypicalResponseTime(route_->name);
@@ -137,6 +138,9 @@
                                               now);
   if (!pick.row) {
     refused_utilization_ = pick.refused_utilization;
+    if (pick.reason == NoTargetReason::kRateLimited) {
+      admission_delay_ = pick.admission_delay;
+    }
     const std::string reason(kNoTargetReasonNames.Name(pick.reason));
     if (state_.may_have_run) {
       RespondWithError(http::status::bad_gateway, Event::kRequestFailed, reason,
@@ -149,6 +153,7 @@
   }
   chosen_region_ = pick.region;
   is_first_choice_ = pick.is_first_choice;
+  rate_limited_targets_ += pick.rate_limited_targets;
   StartAttempt(pick, now);
 }
 
@@ -241,7 +246,7 @@
   } else if (IsSuccess(response.result()) && !fields.is_signed) {
     *rejection = "a success without signature";
   }
-  RecordRateLimit(fields, rejection->empty());
+  RecordRateLimit(fields, rejection->empty(), now);
   if (outcome->reusable_connection != nullptr) {
     traffic_->idle_connections().Put(
         TargetKey(), std::move(outcome->reusable_connection),
@@ -251,7 +256,7 @@
 }
 
 void ForwardedRequest::RecordRateLimit(const TargetFields& fields,
-                                       bool is_accepted) {
+                                       bool is_accepted, TimePoint now) {
   // Another target has the address now; its answer tells nothing of this one.
   if (fields.is_misdirected) return;
   const TargetStatus& row = traffic_->board().row(target_row_);
@@ -262,16 +267,16 @@
     return;
   }
   if (!fields.rate_limit && !is_accepted) return;
-  const auto previous = row.rate_limit;
-  if (!traffic_->board().RecordRateLimit(target_row_, fields.rate_limit)) {
-    return;
-  }
+  const auto previous = traffic_->rate_limiter().RecordResponse(
+      row.key_hash, fields.rate_limit, now);
+  if (previous == fields.rate_limit) return;
   LogEvent(LogLevel::kInfo,
            fields.rate_limit ? Event::kTargetRateLimited
                              : Event::kTargetRateLimitEnded,
            absl::StrCat("target=", row.target.record.id,
                         " limit=", fields.rate_limit.value_or(0),
-                        " previous=", previous.value_or(0),
+                        " previous=", previous.value_or(0), " fleet_sends=",
+                        traffic_->rate_limiter().FleetSends(row.key_hash, now),
                         " id=", caller_fields_.request_id));
 }
 
@@ -344,6 +349,9 @@
   const bool is_known =
       board.HasHandledObject(board.row(target_row_), object, now);
   board.RecordObject(target_row_, object, now);
+  if (is_known) {
+    traffic_->picker().RecordResponseTime(service_, now - attempt_began_at_);
+  }
   return is_known ? traffic_->RecordResponseTime(route_->name,
                                                  now - attempt_began_at_)
                   : 0;
@@ -505,7 +513,8 @@
     absl::StrAppend(
         &line, " object=", caller_fields_.object,
         " target=", row.target.record.id, " zone=", row.target.record.zone,
-        " first_choice=", is_first_choice_ ? 1 : 0, " sends=", state_.sends,
+        " first_choice=", is_first_choice_ ? 1 : 0,
+        " limited=", rate_limited_targets_, " sends=", state_.sends,
         " own_load=", row.own_in_flight, " peers_load=", row.peers_in_flight);
   }
   absl::StrAppend(&line, " view=",
--- a/modules/gg_entry/forwarded_request.h
+++ b/modules/gg_entry/forwarded_request.h
@@ -42,7 +42,8 @@
   /** Records the rate limit that a response names.
       @param is_accepted  the response is the target's own answer; only such a
              response without a limit shows that there is none. */
-  void RecordRateLimit(const TargetFields& fields, bool is_accepted);
+  void RecordRateLimit(const TargetFields& fields, bool is_accepted,
+                       TimePoint now);
   void OnFault(AttemptFault fault, const std::string& reason, TimePoint now);
   void OnDeadline();
   void OnCallerGone();
@@ -79,6 +80,8 @@
   std::string chosen_region_;
   bool is_first_choice_ = false;
   double refused_utilization_ = 0;  // see Pick::refused_utilization
+  int rate_limited_targets_ = 0;    // that passed it on, over all attempts
+  Duration admission_delay_{};      // see Pick::admission_delay
 
   std::shared_ptr<TargetAttempt> attempt_;
   size_t target_row_ = 0;
--- a/modules/gg_entry/heartbeat_exchange.cc
+++ b/modules/gg_entry/heartbeat_exchange.cc
@@ -25,9 +25,12 @@
 }  // namespace
 
 HeartbeatExchange::HeartbeatExchange(asio::io_context* context, Options options,
-                                     TargetStatusTable* board, Hooks hooks)
+                                     TargetStatusTable* board,
+                                     TargetRateLimiter* rate_limiter,
+                                     Hooks hooks)
     : options_(std::move(options)),
       board_(board),
+      rate_limiter_(rate_limiter),
       hooks_(std::move(hooks)),
       socket_(*context),
       send_timer_(*context) {}
@@ -76,6 +79,8 @@
   PeerWork& work = peer_work_[heartbeat->sender];
   work.targets = std::move(heartbeat->targets);
   work.received_at = Now();
+  rate_limiter_->RecordPeerReports(
+      heartbeat->sender, std::move(heartbeat->rate_limits), work.received_at);
   hooks_.on_store_revision(heartbeat->store_revision);
   pending_heartbeats_[heartbeat->sender] = {
       heartbeat->sender, heartbeat->incarnation, heartbeat->is_leaving,
@@ -97,13 +102,14 @@
   });
 }
 
-std::string HeartbeatExchange::EncodeHeartbeat(TimePoint now) const {
+std::string HeartbeatExchange::EncodeHeartbeat(TimePoint now) {
   EntryHeartbeat heartbeat{.sender = options_.host_name,
                            .incarnation = options_.incarnation,
                            .is_leaving = is_leaving_,
                            .is_store_reachable = is_store_reachable_,
                            .store_revision = store_revision_,
-                           .evacuated_zones = evacuated_zones_};
+                           .evacuated_zones = evacuated_zones_,
+                           .rate_limits = rate_limiter_->Reports(now)};
   for (size_t i = 0; i < board_->size(); ++i) {
     const TargetStatus& row = board_->row(i);
     const TargetReport note{
@@ -159,6 +165,7 @@
     ++it;
   }
   board_->SetPeerSummaries(totals);
+  rate_limiter_->Tick(now);
 }
 
 }  // namespace greengage
--- a/modules/gg_entry/heartbeat_exchange.h
+++ b/modules/gg_entry/heartbeat_exchange.h
@@ -11,6 +11,7 @@
 #include "absl/status/status.h"
 #include "gg_fleet/fleet_event.h"
 #include "gg_http/http_types.h"
+#include "gg_request/target_rate_limiter.h"
 #include "gg_request/target_status_table.h"
 #include "gg_wire/entry_heartbeat_codec.h"
 
@@ -18,7 +19,8 @@
 
 /** Sends this daemon's heartbeats to the other daemons and receives theirs. A
     heartbeat reports, for each target, the requests in flight, the slowness and
-    whether the daemon sends it no requests for now.
+    whether the daemon sends it no requests for now; and for each target with a
+    rate limit, the limit and this daemon's demand and requests.
 
     Heartbeats are UDP datagrams, because a lost one is replaced by the next.
     Traffic thread only. */
@@ -50,7 +52,8 @@
   };
 
   HeartbeatExchange(asio::io_context* context, Options options,
-                    TargetStatusTable* board, Hooks hooks);
+                    TargetStatusTable* board, TargetRateLimiter* rate_limiter,
+                    Hooks hooks);
 
   //==============================================================================
   /** Binds the address and starts sending and receiving. An error names the
@@ -95,10 +98,11 @@
   void ScheduleSend();
   void SendTo(const std::vector<asio::ip::udp::endpoint>& peers,
               const std::string& datagram);
-  std::string EncodeHeartbeat(TimePoint now) const;
+  std::string EncodeHeartbeat(TimePoint now);
 
   Options options_;
-  TargetStatusTable* board_;  // not owned
+  TargetStatusTable* board_;         // not owned
+  TargetRateLimiter* rate_limiter_;  // not owned
   Hooks hooks_;
   asio::ip::udp::socket socket_;
   asio::steady_timer send_timer_;
--- a/modules/gg_request/gg_request.h
+++ b/modules/gg_request/gg_request.h
@@ -19,6 +19,7 @@
 #include "gg_request/retry_delay.h"
 #include "gg_request/route_table.h"
 #include "gg_request/target_picker.h"
+#include "gg_request/target_rate_limiter.h"
 #include "gg_request/target_status_table.h"
 #include "gg_request/weighted_round_robin.h"
 
--- a/modules/gg_request/retry_delay.cc
+++ b/modules/gg_request/retry_delay.cc
@@ -25,7 +25,9 @@
 
 Duration RetryDelay(const RefusalState& state, double jitter) {
   Duration delay = kTargetRecoveryDelay;
-  if (state.utilization > 0) {
+  if (state.admission_delay > Duration::zero()) {
+    delay = state.admission_delay;
+  } else if (state.utilization > 0) {
     const Duration response_time = state.usual_response_time > Duration::zero()
                                        ? state.usual_response_time
                                        : kDefaultResponseTime;
--- a/modules/gg_request/retry_delay.h
+++ b/modules/gg_request/retry_delay.h
@@ -10,6 +10,9 @@
   /** Requests per slot at the target that the request would have gone to; 0 if
       there is no target. */
   double utilization = 0;
+  /** Time until a rate-limited target is expected to take the request; zero if
+      it was not refused because of a limit. */
+  Duration admission_delay{};
   Duration usual_response_time{};  // of answers on its route; zero: unknown
   Duration time_left{};            // for which the caller still waits
 };
@@ -20,8 +23,9 @@
     the same tenth of a second. If all were given the same delay, they would
     retry together and find the targets full again. The delay is therefore the
     time in which the target serves its queue, extended by a random amount of up
-    to the same length. If there is no target, it is the time in which one is
-    expected to return.
+    to the same length. If the targets have reached their rate limits, it is the
+    time until the next request is expected to be admitted. If there is no
+    target, it is the time in which one is expected to return.
     @param jitter  a random number from 0 to 1.
     @return the delay; at most a third of the time left, because callers do not
             wait longer than that. */
--- a/modules/gg_request/target_picker.cc
+++ b/modules/gg_request/target_picker.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <limits>
 
 #include "absl/strings/str_cat.h"
@@ -12,13 +13,18 @@
 namespace greengage {
 namespace {
 
+/** Weight of the newest response time in a service's moving average. */
+constexpr double kResponseTimeWeight = 0.02;
+
 /** Returns the rendezvous score of a target for an object; higher is better.
-    Weighted by slots as in weighted rendezvous hashing (-weight / ln(hash)). */
-double RendezvousScore(uint64_t object, const TargetStatus& row) {
+    Weighted by capacity as in weighted rendezvous hashing
+    (-weight / ln(hash)). */
+double RendezvousScore(uint64_t object, const TargetStatus& row,
+                       double capacity) {
   const uint64_t mixed = Random(object ^ row.id_hash).Next();
   const double unit =
       (static_cast<double>(mixed >> 11U) + 0.5) / 9007199254740992.0;
-  return -row.target.record.slots / std::log(unit);
+  return -capacity / std::log(unit);
 }
 
 /** Stands for a target that is used only if there is no other. */
@@ -35,10 +41,12 @@
       targets_(targets),
       cold_limiter_(
           {.self = options_.self, .allowance = options_.cold_allowance}),
+      rate_limiter_({.seed = options_.seed}),
       random_(options_.seed) {}
 
 void TargetPicker::SetView(FleetViewPtr view) {
   view_ = std::move(view);
+  rate_limiter_.SetSenderCount(view_->sender_count);
   if (view_->config == nullptr) return;
   highest_priority_.clear();
   for (const RouteRule& route : view_->config->routes) {
@@ -50,12 +58,15 @@
   }
 }
 
-double TargetPicker::FullUtilization(const PickRequest& request) const {
+bool TargetPicker::HasHighestPriority(const PickRequest& request) const {
   const auto found = highest_priority_.find(request.service);
-  const bool is_highest_priority = found == highest_priority_.end() ||
-                                   request.route->priority <= found->second;
+  return found == highest_priority_.end() ||
+         request.route->priority <= found->second;
+}
+
+double TargetPicker::FullUtilization(const PickRequest& request) const {
   return options_.full_utilization -
-         (is_highest_priority ? 0 : options_.low_priority_reduction);
+         (HasHighestPriority(request) ? 0 : options_.low_priority_reduction);
 }
 
 double TargetPicker::ColdRate(const TargetStatus& row) const {
@@ -65,6 +76,25 @@
   return found == services.end() ? 0 : found->second.cold_requests_per_second;
 }
 
+double TargetPicker::Capacity(const TargetStatus& row) const {
+  const double slots = row.target.record.slots;
+  const std::optional<double> limit = rate_limiter_.Limit(row.key_hash);
+  if (!limit) return slots;
+  const auto found = response_seconds_.find(row.target.record.service);
+  const double seconds = found == response_seconds_.end()
+                             ? ToSeconds(options_.default_response_time)
+                             : found->second;
+  return std::min(slots, *limit * seconds);
+}
+
+void TargetPicker::RecordResponseTime(const std::string& service,
+                                      Duration time) {
+  const double seconds = ToSeconds(time);
+  const auto [found, is_new] = response_seconds_.try_emplace(
+      service, ToSeconds(options_.default_response_time));
+  found->second += kResponseTimeWeight * (seconds - found->second);
+}
+
 bool TargetPicker::IsUsable(size_t index, const PickRequest& request,
                             TimePoint now) {
   const TargetStatus& row = targets_->row(index);
@@ -95,7 +125,7 @@
     const std::string& region = row.target.region;
     if (!home_regions.empty() && !Contains(home_regions, region)) continue;
     if (row.ejected_until > now || targets_->IsAbsent(row, now)) continue;
-    plan.regions[region].capacity += row.target.record.slots;
+    plan.regions[region].capacity += Capacity(row);
   }
   const RegionShares planned = PlanRegionShares(options_.region, plan.regions);
   if (planned.empty()) return options_.region;
@@ -151,10 +181,14 @@
   if (!warm.empty()) candidates = std::move(warm);
   const uint64_t object = ObjectKey(*request.route, request.object);
   if (object == 0) return candidates;
-  std::sort(candidates.begin(), candidates.end(), [&](size_t a, size_t b) {
-    return RendezvousScore(object, targets_->row(a)) >
-           RendezvousScore(object, targets_->row(b));
-  });
+  std::vector<std::pair<double, size_t>> scored;
+  scored.reserve(candidates.size());
+  for (const size_t index : candidates) {
+    const TargetStatus& row = targets_->row(index);
+    scored.emplace_back(RendezvousScore(object, row, Capacity(row)), index);
+  }
+  std::sort(scored.begin(), scored.end(), std::greater<>());
+  for (size_t i = 0; i < scored.size(); ++i) candidates[i] = scored[i].second;
   return candidates;
 }
 
@@ -182,55 +216,102 @@
          (slowness < kSlowThreshold ? 1 : slowness);
 }
 
-size_t TargetPicker::PickForObject(const std::vector<size_t>& ordered,
-                                   uint64_t object, TimePoint now) const {
-  const auto is_slow = [&](size_t index) {
-    return targets_->Slowness(targets_->row(index), now) >= kSlowThreshold;
-  };
-  const auto utilization = [&](size_t index) {
-    return targets_->Utilization(targets_->row(index), now);
-  };
-  const size_t first = ordered.front();
-  if (!is_slow(first) && utilization(first) < options_.no_wait_utilization) {
-    return first;
-  }
-  // Another target that has handled the object is as fast and may be less busy.
-  size_t best = first;
-  double best_utilization =
-      is_slow(first) ? kUnusableUtilization : utilization(first);
-  for (const size_t index : ordered) {
-    if (!targets_->HasHandledObject(targets_->row(index), object, now)) {
+double TargetPicker::Utilization(size_t index, TimePoint now) {
+  const TargetStatus& row = targets_->row(index);
+  return std::max(targets_->Utilization(row, now),
+                  rate_limiter_.Utilization(row.key_hash, now));
+}
+
+std::optional<size_t> TargetPicker::PickForObject(
+    const std::vector<size_t>& ordered, const std::vector<bool>& is_passed_over,
+    uint64_t object, TimePoint now) {
+  // Another target that has handled the object is as fast as the first one and
+  // may be less busy.
+  std::optional<size_t> best;
+  double best_utilization = kUnusableUtilization;
+  std::optional<size_t> spillover;
+  for (size_t i = 0; i < ordered.size(); ++i) {
+    const size_t index = ordered[i];
+    const TargetStatus& row = targets_->row(index);
+    if (is_passed_over[i]) continue;
+    const bool is_slow = targets_->Slowness(row, now) >= kSlowThreshold;
+    const double utilization = Utilization(index, now);
+    if (i == 0) {
+      if (!is_slow && utilization < options_.no_wait_utilization) return index;
+      best = index;
+      if (!is_slow) best_utilization = utilization;
       continue;
     }
-    if (is_slow(index)) continue;
-    if (utilization(index) >= best_utilization) continue;
-    best = index;
-    best_utilization = utilization(index);
-  }
-  if (best_utilization < options_.max_affinity_utilization) return best;
-  for (const size_t index : ordered) {
-    if (utilization(index) < options_.max_spillover_utilization &&
-        !is_slow(index)) {
-      return index;
+    if (is_slow) continue;
+    if (targets_->HasHandledObject(row, object, now) &&
+        utilization < best_utilization) {
+      best = index;
+      best_utilization = utilization;
+    }
+    const bool can_take_over = i < options_.max_limited_spillover_rank ||
+                               !rate_limiter_.Limit(row.key_hash).has_value();
+    if (!spillover && can_take_over &&
+        utilization < options_.max_spillover_utilization) {
+      spillover = index;
     }
   }
-  return best;
+  if (best_utilization < options_.max_affinity_utilization) return best;
+  return spillover ? spillover : best;
 }
 
-size_t TargetPicker::PickLeastLoaded(const std::vector<size_t>& candidates,
-                                     TimePoint now) {
+std::optional<size_t> TargetPicker::PickLeastLoaded(
+    const std::vector<size_t>& candidates,
+    const std::vector<bool>& is_passed_over, TimePoint now) {
   const size_t start = random_.NextBelow(candidates.size());
-  size_t best = candidates[start];
+  std::optional<size_t> best;
+  double best_cost = 0;
   for (size_t i = 0; i < candidates.size(); ++i) {
-    const size_t index = candidates[(start + i) % candidates.size()];
-    if (LoadCost(targets_->row(index), now) <
-        LoadCost(targets_->row(best), now)) {
-      best = index;
-    }
+    const size_t position = (start + i) % candidates.size();
+    if (is_passed_over[position]) continue;
+    const double cost = LoadCost(targets_->row(candidates[position]), now);
+    if (best && cost >= best_cost) continue;
+    best = candidates[position];
+    best_cost = cost;
   }
   return best;
 }
 
+std::optional<size_t> TargetPicker::PickAdmitting(
+    const std::vector<size_t>& candidates, const PickRequest& request,
+    TimePoint now, Pick* pick) {
+  const uint64_t object = ObjectKey(*request.route, request.object);
+  std::vector<bool> is_passed_over(candidates.size(), false);
+  for (;;) {
+    const std::optional<size_t> best =
+        object != 0 ? PickForObject(candidates, is_passed_over, object, now)
+                    : PickLeastLoaded(candidates, is_passed_over, now);
+    if (!best) break;
+    const TargetStatus& row = targets_->row(*best);
+    const double utilization = targets_->Utilization(row, now);
+    if (utilization >= FullUtilization(request)) {
+      pick->reason = NoTargetReason::kAllFull;
+      pick->refused_utilization = utilization;
+      return std::nullopt;
+    }
+    auto urgency = OfferUrgency::kPassedOn;
+    if (*best == candidates.front() || object == 0) {
+      urgency = HasHighestPriority(request) ? OfferUrgency::kUrgent
+                                            : OfferUrgency::kOther;
+    }
+    if (rate_limiter_.TryAdmit(row.key_hash, urgency, now)) return best;
+    const Duration delay =
+        rate_limiter_.TimeUntilAdmission(row.key_hash, urgency, now);
+    if (pick->rate_limited_targets++ == 0 || delay < pick->admission_delay) {
+      pick->admission_delay = delay;
+    }
+    const auto position =
+        std::find(candidates.begin(), candidates.end(), *best);
+    is_passed_over[position - candidates.begin()] = true;
+  }
+  pick->reason = NoTargetReason::kRateLimited;
+  return std::nullopt;
+}
+
 Pick TargetPicker::Choose(const PickRequest& request, TimePoint now) {
   Pick pick;
   pick.region =
@@ -250,17 +331,12 @@
     pick.reason = NoTargetReason::kNoneUsable;
     return pick;
   }
-  const uint64_t object = ObjectKey(*request.route, request.object);
-  const size_t best = object != 0 ? PickForObject(candidates, object, now)
-                                  : PickLeastLoaded(candidates, now);
-  pick.is_first_choice = best == candidates.front();
-  const TargetStatus& row = targets_->row(best);
-  const double utilization = targets_->Utilization(row, now);
-  if (utilization >= FullUtilization(request)) {
-    pick.reason = NoTargetReason::kAllFull;
-    pick.refused_utilization = utilization;
-    return pick;
-  }
+  const std::optional<size_t> best =
+      PickAdmitting(candidates, request, now, &pick);
+  if (!best) return pick;
+  pick.is_first_choice = *best == candidates.front();
+  const TargetStatus& row = targets_->row(*best);
+  rate_limiter_.RecordSend(row.key_hash, now);
   if (row.target.cold_until > now) {
     cold_limiter_.TryTake(row.target.record.id, ColdRate(row),
                           view_->sender_count, now);
--- a/modules/gg_request/target_picker.h
+++ b/modules/gg_request/target_picker.h
@@ -13,6 +13,7 @@
 #include "gg_request/cold_target_limiter.h"
 #include "gg_request/object_distribution.h"
 #include "gg_request/region_plan.h"
+#include "gg_request/target_rate_limiter.h"
 #include "gg_request/target_status_table.h"
 #include "gg_request/weighted_round_robin.h"
 
@@ -21,10 +22,10 @@
 struct RouteRule;
 
 /** Why no target can take a request. */
-enum class NoTargetReason { kNone, kNoneUsable, kAllFull };
+enum class NoTargetReason { kNone, kNoneUsable, kAllFull, kRateLimited };
 
-inline constexpr EnumNames<NoTargetReason, 3> kNoTargetReasonNames{
-    {"none", "no_usable_target", "all_targets_full"}};
+inline constexpr EnumNames<NoTargetReason, 4> kNoTargetReasonNames{
+    {"none", "no_usable_target", "all_targets_full", "targets_rate_limited"}};
 
 /** Describes a request for which a target is to be chosen. */
 struct PickRequest {
@@ -44,6 +45,10 @@
   /** Requests per slot at the target that was full; 0 if there is no usable
       target. */
   double refused_utilization = 0;
+  /** Targets that were passed over because of their rate limits. */
+  int rate_limited_targets = 0;
+  /** Of a request that no target admits: time until one is expected to. */
+  Duration admission_delay{};
 };
 
 /** Chooses the target of a request.
@@ -73,6 +78,10 @@
     double max_affinity_utilization = 2.1;
     /** Utilization up to which another target takes over the object. */
     double max_spillover_utilization = 0.6;
+    /** Position in an object's order from which a target with a rate limit does
+        not take over the object. Each answer for an object that is new to the
+        target uses up a part of the limit and is late. */
+    size_t max_limited_spillover_rank = 3;
     /** Utilization from which no more requests are sent to a target. */
     double full_utilization = 2.2;
     /** Reduction of `full_utilization` for routes of lower priority than the
@@ -93,6 +102,8 @@
         margin of 0.3), and of none at 80 per second (0.2). */
     double region_margin = 1.9;
     double cold_allowance = 0;  // see ColdTargetLimiter
+    /** Response time of a service without responses so far. */
+    Duration default_response_time = std::chrono::milliseconds(300);
   };
 
   /** Creates a picker.
@@ -108,9 +119,17 @@
       before. */
   void SetView(FleetViewPtr view);
 
+  /** Records the response time of a target of `service` that had handled the
+      object. It tells how many slots a rate limit is worth. */
+  void RecordResponseTime(const std::string& service, Duration time);
+
+  /** Returns the limiter of the targets that name rate limits. */
+  TargetRateLimiter& rate_limiter() { return rate_limiter_; }
+
   /** Chooses the target of a request. If the target is cold, takes one request
-      from this daemon's share for it. Does not record an attempt in the status
-      table. */
+      from this daemon's share for it. A target that has reached its rate limit
+      is passed over for the next one in the object's order, in the same region.
+      Does not record an attempt in the status table. */
   Pick Choose(const PickRequest& request, TimePoint now);
 
  private:
@@ -130,11 +149,30 @@
                                      TimePoint now) const;
   bool IsUsable(size_t row, const PickRequest& request, TimePoint now);
   double ColdRate(const TargetStatus& row) const;
+  /** Returns the slots of a target that can be used within its rate limit. */
+  double Capacity(const TargetStatus& row) const;
   double FullUtilization(const PickRequest& request) const;
   double LoadCost(const TargetStatus& row, TimePoint now) const;
-  size_t PickForObject(const std::vector<size_t>& ordered, uint64_t object,
-                       TimePoint now) const;
-  size_t PickLeastLoaded(const std::vector<size_t>& candidates, TimePoint now);
+  /** Returns the target's utilization, by its slots or by its rate limit,
+      whichever is higher. */
+  double Utilization(size_t row, TimePoint now);
+  /** Returns the target for an object: the first one in its order, another one
+      that has handled it, or one with little load. Returns nothing when all
+      that are left are busy and the first one was passed over.
+      @param is_passed_over  by position: the target did not admit the
+             request. */
+  std::optional<size_t> PickForObject(const std::vector<size_t>& ordered,
+                                      const std::vector<bool>& is_passed_over,
+                                      uint64_t object, TimePoint now);
+  std::optional<size_t> PickLeastLoaded(const std::vector<size_t>& candidates,
+                                        const std::vector<bool>& is_passed_over,
+                                        TimePoint now);
+  /** Returns the preferred one of the targets that admit the request, or
+      nothing, with the reason in `pick`. */
+  std::optional<size_t> PickAdmitting(const std::vector<size_t>& candidates,
+                                      const PickRequest& request, TimePoint now,
+                                      Pick* pick);
+  bool HasHighestPriority(const PickRequest& request) const;
 
   Options options_;
   TargetStatusTable* targets_;  // not owned
@@ -143,7 +181,9 @@
   std::map<std::string, int, std::less<>> highest_priority_;
   std::map<std::string, ServicePlan> plans_;  // by service and home regions
   ArrivalRate arrival_rate_{ArrivalRate::Options{}};  // of all services
+  std::map<std::string, double> response_seconds_;    // average, by service
   ColdTargetLimiter cold_limiter_;
+  TargetRateLimiter rate_limiter_;
   Random random_;
 };
 
--- /dev/null
+++ b/modules/gg_request/target_rate_limiter.cc
@@ -0,0 +1,248 @@
+#include "gg_request/target_rate_limiter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace greengage {
+namespace {
+
+constexpr size_t kUrgent = static_cast<size_t>(OfferUrgency::kUrgent);
+constexpr size_t kOther = static_cast<size_t>(OfferUrgency::kOther);
+
+/** Returns the index of the demand and the credit that an offer counts in. */
+size_t IndexOf(OfferUrgency urgency) {
+  return urgency == OfferUrgency::kUrgent ? kUrgent : kOther;
+}
+
+/** Credit that offers can add up to while the window's bound holds them back.
+ */
+constexpr double kMaxCredit = 1.5;
+
+/** Longest time until the next admission that is expected. */
+constexpr Duration kMaxAdmissionDelay = std::chrono::seconds(10);
+
+/** How long the end of a limit is reported. Longer than the interval of
+    heartbeats between regions of a large fleet. */
+constexpr Duration kEndReportTime = std::chrono::seconds(5);
+
+/** Demand below which a daemon has no news of a target, per second. */
+constexpr double kMinReportedDemand = 0.02;
+
+}  // namespace
+
+TargetRateLimiter::Target& TargetRateLimiter::FindOrAdd(uint64_t id,
+                                                        TimePoint now) {
+  const auto [found, is_new] = targets_.try_emplace(id);
+  if (is_new) {
+    // A random start, as the daemons' admissions must not coincide.
+    for (double& credit : found->second.credit) credit = random_.NextDouble();
+  }
+  found->second.used_at = now;
+  return found->second;
+}
+
+std::optional<double> TargetRateLimiter::RecordResponse(
+    uint64_t id, std::optional<double> limit, TimePoint now) {
+  Target& target = FindOrAdd(id, now);
+  const std::optional<double> previous = target.limit;
+  if (!limit && !previous) return previous;  // no news for other daemons
+  target.limit = limit;
+  target.limit_known_at = now;
+  return previous;
+}
+
+void TargetRateLimiter::RecordPeerReports(
+    const std::string& host, std::map<uint64_t, RateLimitReport> reports,
+    TimePoint now) {
+  for (const auto& [id, report] : reports) {
+    const TimePoint known_at = now - report.age;
+    Target& target = FindOrAdd(id, now);
+    if (target.limit_known_at && *target.limit_known_at >= known_at) continue;
+    target.limit = report.limit;
+    target.limit_known_at = known_at;
+  }
+  peers_[host] = {std::move(reports), now};
+}
+
+void TargetRateLimiter::Tick(TimePoint now) {
+  std::erase_if(targets_, [&](const auto& entry) {
+    return now - entry.second.used_at >= options_.target_lifetime;
+  });
+  std::erase_if(peers_, [&](const auto& entry) {
+    return now - entry.second.received_at >= options_.report_lifetime;
+  });
+}
+
+double TargetRateLimiter::Demand(const DecayingRate& rate,
+                                 TimePoint now) const {
+  const double time_constant = ToSeconds(options_.demand_time_constant);
+  return rate.count / time_constant *
+         std::exp(-ToSeconds(now - rate.updated_at) / time_constant);
+}
+
+void TargetRateLimiter::RemoveExpiredSends(Target* target,
+                                           TimePoint now) const {
+  while (!target->sends.empty() &&
+         now - target->sends.front() >= options_.window) {
+    target->sends.pop_front();
+  }
+}
+
+void TargetRateLimiter::FleetTotals::Add(const RateLimitReport& report) {
+  demand[kUrgent] += report.urgent_demand;
+  demand[kOther] += report.other_demand;
+  sends += report.recent_sends;
+}
+
+TargetRateLimiter::FleetTotals TargetRateLimiter::Totals(uint64_t id,
+                                                         Target* target,
+                                                         TimePoint now) {
+  RemoveExpiredSends(target, now);
+  FleetTotals totals;
+  for (const size_t urgency : {kUrgent, kOther}) {
+    totals.demand[urgency] = Demand(target->demand[urgency], now);
+  }
+  totals.sends = static_cast<double>(target->sends.size());
+  int heard = 1;  // with this daemon
+  FleetTotals outdated;
+  const double window = ToSeconds(options_.window);
+  double age_sum = 0;
+  for (const auto& [host, peer] : peers_) {
+    const Duration age = now - peer.received_at;
+    if (age >= options_.report_lifetime) continue;
+    const bool is_fresh = age < options_.report_freshness;
+    heard += is_fresh ? 1 : 0;
+    if (is_fresh) age_sum += ToSeconds(age);
+    const auto found = peer.targets.find(id);
+    if (found == peer.targets.end()) continue;
+    (is_fresh ? totals : outdated).Add(found->second);
+  }
+  const int unheard = std::max(sender_count_ - heard, 0);
+  const double unheard_ratio = static_cast<double>(unheard) / heard;
+  totals.staleness =
+      (age_sum + unheard * window) / ((heard + unheard) * window);
+  for (const size_t urgency : {kUrgent, kOther}) {
+    totals.demand[urgency] += std::max(totals.demand[urgency] * unheard_ratio,
+                                       outdated.demand[urgency]);
+  }
+  totals.sends += std::max(totals.sends * unheard_ratio, outdated.sends);
+  return totals;
+}
+
+double TargetRateLimiter::EnforcedLimit(const Target& target,
+                                        const FleetTotals& totals) const {
+  return std::max(target.limit.value_or(0), options_.min_limit) *
+         (1 - options_.staleness_reserve * totals.staleness);
+}
+
+double TargetRateLimiter::WindowBound(const Target& target,
+                                      const FleetTotals& totals,
+                                      OfferUrgency urgency) const {
+  const double allowed =
+      EnforcedLimit(target, totals) * ToSeconds(options_.window);
+  const bool is_urgent = urgency == OfferUrgency::kUrgent;
+  return allowed * (is_urgent ? 1 : 1 - options_.urgent_fraction) +
+         options_.window_allowance;
+}
+
+double TargetRateLimiter::AdmittedFraction(const Target& target,
+                                           const FleetTotals& totals,
+                                           OfferUrgency urgency) const {
+  const double limit = EnforcedLimit(target, totals) * options_.pace;
+  const double urgent = totals.demand[kUrgent];
+  const double other = totals.demand[kOther];
+  const double for_other = std::min(
+      other, std::max(limit - urgent, limit * options_.other_fraction));
+  const bool is_urgent = urgency == OfferUrgency::kUrgent;
+  const double demand = is_urgent ? urgent : other;
+  const double admitted = is_urgent ? limit - for_other : for_other;
+  const double fraction = demand <= admitted ? 1 : admitted / demand;
+  if (urgency != OfferUrgency::kPassedOn) return fraction;
+  const double burst =
+      limit * ToSeconds(options_.window) * options_.burst_tolerance +
+      options_.burst_allowance;
+  return std::min(fraction, burst / sender_count_);
+}
+
+bool TargetRateLimiter::TryAdmit(uint64_t id, OfferUrgency urgency,
+                                 TimePoint now) {
+  Target& target = FindOrAdd(id, now);
+  const size_t index = IndexOf(urgency);
+  DecayingRate& rate = target.demand[index];
+  rate.count = Demand(rate, now) * ToSeconds(options_.demand_time_constant) + 1;
+  rate.updated_at = now;
+  if (!target.limit) return true;
+  const FleetTotals totals = Totals(id, &target, now);
+  double& credit = target.credit[index];
+  credit =
+      std::min(credit + AdmittedFraction(target, totals, urgency), kMaxCredit);
+  if (credit < 1 || totals.sends + 1 > WindowBound(target, totals, urgency))
+    return false;
+  credit -= 1;
+  return true;
+}
+
+void TargetRateLimiter::RecordSend(uint64_t id, TimePoint now) {
+  Target& target = FindOrAdd(id, now);
+  RemoveExpiredSends(&target, now);
+  target.sends.push_back(now);
+}
+
+Duration TargetRateLimiter::TimeUntilAdmission(uint64_t id,
+                                               OfferUrgency urgency,
+                                               TimePoint now) {
+  Target& target = FindOrAdd(id, now);
+  if (!target.limit) return Duration::zero();
+  const FleetTotals totals = Totals(id, &target, now);
+  const size_t index = IndexOf(urgency);
+  const double rate = Demand(target.demand[index], now) *
+                      AdmittedFraction(target, totals, urgency);
+  const double missing_credit = std::max(1 - target.credit[index], 0.0);
+  // In a full window, room appears at about the rate of the limit.
+  const double excess_sends =
+      std::max(totals.sends + 1 - WindowBound(target, totals, urgency), 0.0);
+  const double seconds =
+      std::max(missing_credit / std::max(rate, kMinReportedDemand),
+               excess_sends / EnforcedLimit(target, totals));
+  return FromSeconds(std::min(seconds, ToSeconds(kMaxAdmissionDelay)));
+}
+
+std::optional<double> TargetRateLimiter::Limit(uint64_t id) const {
+  const auto found = targets_.find(id);
+  return found == targets_.end() ? std::nullopt : found->second.limit;
+}
+
+std::map<uint64_t, RateLimitReport> TargetRateLimiter::Reports(TimePoint now) {
+  std::map<uint64_t, RateLimitReport> reports;
+  for (auto& [id, target] : targets_) {
+    if (!target.limit_known_at) continue;
+    RemoveExpiredSends(&target, now);
+    const RateLimitReport report{
+        .limit = target.limit,
+        .age = now - *target.limit_known_at,
+        .urgent_demand = Demand(target.demand[kUrgent], now),
+        .other_demand = Demand(target.demand[kOther], now),
+        .recent_sends = static_cast<int>(target.sends.size())};
+    const bool has_news =
+        report.urgent_demand + report.other_demand >= kMinReportedDemand ||
+        report.recent_sends > 0;
+    if (target.limit ? has_news : report.age < kEndReportTime) {
+      reports[id] = report;
+    }
+  }
+  return reports;
+}
+
+double TargetRateLimiter::Utilization(uint64_t id, TimePoint now) {
+  const auto found = targets_.find(id);
+  if (found == targets_.end() || !found->second.limit) return 0;
+  const FleetTotals totals = Totals(id, &found->second, now);
+  return totals.sends /
+         WindowBound(found->second, totals, OfferUrgency::kUrgent);
+}
+
+double TargetRateLimiter::FleetSends(uint64_t id, TimePoint now) {
+  return Totals(id, &FindOrAdd(id, now), now).sends;
+}
+
+}  // namespace greengage
--- a/modules/gg_request/target_status_table.cc
+++ b/modules/gg_request/target_status_table.cc
@@ -57,6 +57,7 @@
     rows_[index] = {};
   }
   rows_[index].key = key;
+  rows_[index].key_hash = Hash64(key);
   return index;
 }
 
@@ -183,13 +184,6 @@
   rows_[row].reported_at = now;
 }
 
-bool TargetStatusTable::RecordRateLimit(size_t row,
-                                        std::optional<double> limit) {
-  const bool is_changed = rows_[row].rate_limit != limit;
-  rows_[row].rate_limit = limit;
-  return is_changed;
-}
-
 double TargetStatusTable::Utilization(const TargetStatus& row,
                                       TimePoint now) const {
   double requests = row.own_in_flight + row.peers_in_flight;
--- a/modules/gg_request/target_status_table.h
+++ b/modules/gg_request/target_status_table.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,14 +45,12 @@
   UsableTarget target;
   std::string key;  // "id/incarnation"; empty if the row is free
   uint64_t id_hash = 0;
+  uint64_t key_hash = 0;
   bool is_listed = true;  // still usable according to the store
   int own_in_flight = 0;
   int peers_in_flight = 0;    // sum over the last heartbeats of other daemons
   int ejecting_peers = 0;     // other daemons that eject it or find it absent
   double peers_slowness = 1;  // mean over the daemons that report it as slow
-  /** Requests per second that the target takes from all daemons, by its last
-      answer; nullopt: it named no limit. */
-  std::optional<double> rate_limit;
   double reported_load = 0;  // requests running and waiting, by its last answer
   TimePoint reported_at{};
   double slowness = 1;  // response time / usual one, as of slowness_at
@@ -145,10 +142,6 @@
   /** Records the load that a target reported: requests running and waiting. */
   void RecordReportedLoad(size_t row, double load, TimePoint now);
 
-  /** Records the rate limit that the target's answer names; nullopt: none.
-      @return whether it differs from the one of the answer before. */
-  bool RecordRateLimit(size_t row, std::optional<double> limit);
-
   //==============================================================================
   /** Returns the known number of requests per slot at the target. */
   double Utilization(const TargetStatus& row, TimePoint now) const;
--- a/modules/gg_wire/entry_heartbeat_codec.cc
+++ b/modules/gg_wire/entry_heartbeat_codec.cc
@@ -1,6 +1,8 @@
 #include "gg_wire/entry_heartbeat_codec.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <vector>
 
 #include "gg_core/errors.h"
@@ -12,6 +14,42 @@
 /** Largest slowness that is sent, in tenths. Higher values are clamped. */
 constexpr double kMaxSlownessTenths = 1000;
 
+/** Unit of rates, requests per second. */
+constexpr double kRateUnit = 0.01;
+
+/** Largest rate that is sent, in units. */
+constexpr double kMaxRateUnits = 4e9;
+
+uint32_t EncodeRate(double rate) {
+  return static_cast<uint32_t>(
+      std::clamp(std::round(rate / kRateUnit), 0.0, kMaxRateUnits));
+}
+
+wire::LimitedTarget EncodeRateLimit(uint64_t key_hash,
+                                    const RateLimitReport& report) {
+  const auto age_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(report.age).count();
+  constexpr auto kMaxAge = std::numeric_limits<uint32_t>::max();
+  constexpr auto kMaxSends = std::numeric_limits<uint16_t>::max();
+  return {
+      key_hash,
+      EncodeRate(report.limit.value_or(0)),
+      static_cast<uint32_t>(std::clamp<int64_t>(age_ms, 0, kMaxAge)),
+      EncodeRate(report.urgent_demand),
+      EncodeRate(report.other_demand),
+      static_cast<uint16_t>(std::clamp<int>(report.recent_sends, 0, kMaxSends)),
+      report.limit.has_value()};
+}
+
+RateLimitReport DecodeRateLimit(const wire::LimitedTarget& row) {
+  RateLimitReport report{.age = std::chrono::milliseconds(row.age_ms()),
+                         .urgent_demand = row.urgent_demand() * kRateUnit,
+                         .other_demand = row.other_demand() * kRateUnit,
+                         .recent_sends = row.recent_sends()};
+  if (row.has_limit()) report.limit = row.limit() * kRateUnit;
+  return report;
+}
+
 }  // namespace
 
 std::string EncodeEntryHeartbeat(const EntryHeartbeat& heartbeat) {
@@ -28,11 +66,17 @@
   const auto rows = builder.CreateVectorOfStructs(target_rows);
   const auto zones = builder.CreateVectorOfStrings(std::vector<std::string>(
       heartbeat.evacuated_zones.begin(), heartbeat.evacuated_zones.end()));
-  builder.Finish(
-      wire::CreateEntryHeartbeat(
-          builder, sender, heartbeat.incarnation, heartbeat.is_leaving,
-          heartbeat.is_store_reachable, heartbeat.store_revision, zones, rows),
-      wire::EntryHeartbeatIdentifier());
+  std::vector<wire::LimitedTarget> limited_rows;
+  limited_rows.reserve(heartbeat.rate_limits.size());
+  for (const auto& [key_hash, report] : heartbeat.rate_limits) {
+    limited_rows.push_back(EncodeRateLimit(key_hash, report));
+  }
+  const auto limited = builder.CreateVectorOfStructs(limited_rows);
+  builder.Finish(wire::CreateEntryHeartbeat(
+                     builder, sender, heartbeat.incarnation,
+                     heartbeat.is_leaving, heartbeat.is_store_reachable,
+                     heartbeat.store_revision, zones, rows, limited),
+                 wire::EntryHeartbeatIdentifier());
   return {builder.GetBufferPointer(),
           builder.GetBufferPointer() + builder.GetSize()};
 }
@@ -65,6 +109,11 @@
           .is_ejected = row->is_resting()};
     }
   }
+  if (frame->limited() != nullptr) {
+    for (const wire::LimitedTarget* row : *frame->limited()) {
+      heartbeat.rate_limits[row->key_hash()] = DecodeRateLimit(*row);
+    }
+  }
   return heartbeat;
 }
 
--- a/modules/gg_wire/entry_heartbeat_codec.h
+++ b/modules/gg_wire/entry_heartbeat_codec.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "absl/status/statusor.h"
+#include "gg_core/rate_limit_report.h"
 
 namespace greengage {
 
@@ -32,6 +33,8 @@
       last read of the store. */
   std::set<std::string> evacuated_zones;
   std::map<uint64_t, TargetReport> targets;  // by hash of the target id
+  /** By hash of the target's id and incarnation. */
+  std::map<uint64_t, RateLimitReport> rate_limits;
 };
 
 /** Encodes a heartbeat as a datagram. */
--- a/tests/entry/request_test.cc
+++ b/tests/entry/request_test.cc
@@ -642,6 +642,60 @@
   CHECK_FALSE(Choose("tool").row.has_value());
 }
 
+/** A target that names a rate limit, among others of its region. */
+TEST_GROUP_BASE(RateLimitedTarget, TEST_GROUP_CppUTestGroupTargetPicker) {
+  size_t limited_row = 0;
+
+  void LimitFirstChoiceOf(const std::string& object, double limit) {
+    limited_row = *Choose(object).row;
+    picker.rate_limiter().RecordResponse(table.row(limited_row).key_hash, limit,
+                                         At(0));
+  }
+  /** Returns how many of `count` requests for `object` each row receives. */
+  std::map<size_t, int> Spread(const std::string& object, int count) {
+    std::map<size_t, int> rows;
+    for (int i = 0; i < count; ++i) {
+      const Pick pick = Choose(object);
+      if (pick.row) ++rows[*pick.row];
+    }
+    return rows;
+  }
+};
+
+TEST(RateLimitedTarget, ItsObjects_GoToOtherTargetsOfTheRegion) {
+  UseView(MakeView({{"north", 4}, {"south", 4}}));
+  LimitFirstChoiceOf("tool", 1);
+  int elsewhere = 0;
+  for (const auto& [row, count] : Spread("tool", 100)) {
+    STRCMP_EQUAL("north", table.row(row).target.region.c_str());
+    if (row != limited_row) elsewhere += count;
+  }
+  CHECK_TRUE(elsewhere >= 90);
+}
+
+TEST(RateLimitedTarget, GetsAsManyObjectsAsItsLimitAllows) {
+  UseView(MakeView({{"north", 4}}));
+  LimitFirstChoiceOf("tool", 3);  // a tenth of what its nine slots serve
+  int first_choices = 0;
+  for (int i = 0; i < 200; ++i) {
+    const Pick pick = Choose(absl::StrCat("object-", i));
+    if (pick.row && *pick.row == limited_row && pick.is_first_choice) {
+      ++first_choices;
+    }
+  }
+  CHECK_TRUE(first_choices <= 20);
+}
+
+TEST(RateLimitedTarget, WithoutAnother_RefusesAndTellsWhenToReturn) {
+  UseView(MakeView({{"north", 1}}));
+  LimitFirstChoiceOf("tool", 1);
+  for (int i = 0; i < 20; ++i) Choose("tool");
+  const Pick pick = Choose("tool");
+  CHECK_FALSE(pick.row.has_value());
+  CHECK_TRUE(pick.reason == NoTargetReason::kRateLimited);
+  CHECK_TRUE(pick.admission_delay > Duration::zero());
+}
+
 TEST_GROUP(EntryHeartbeat){};
 
 TEST(EntryHeartbeat, Datagram_SurvivesTheRoundTrip) {
@@ -650,9 +704,22 @@
                            .is_store_reachable = true,
                            .store_revision = 99};
   heartbeat.targets[5] = {.in_flight = 3, .slowness = 2.5, .is_ejected = true};
+  heartbeat.rate_limits[6] = {.limit = 3.25,
+                              .age = std::chrono::milliseconds(120),
+                              .urgent_demand = 0.5,
+                              .other_demand = 1e12,
+                              .recent_sends = 9};
+  heartbeat.rate_limits[7] = {.age = std::chrono::seconds(1)};
   const auto decoded =
       DecodeEntryHeartbeat(EncodeEntryHeartbeat(heartbeat), "peer");
   CHECK_TRUE(decoded.ok());
+  const RateLimitReport& limited = decoded->rate_limits.at(6);
+  DOUBLES_EQUAL(3.25, *limited.limit, 1e-9);
+  CHECK_TRUE(limited.age == std::chrono::milliseconds(120));
+  DOUBLES_EQUAL(0.5, limited.urgent_demand, 1e-9);
+  DOUBLES_EQUAL(4e7, limited.other_demand, 1);  // the largest that is sent
+  LONGS_EQUAL(9, limited.recent_sends);
+  CHECK_FALSE(decoded->rate_limits.at(7).limit.has_value());
   STRCMP_EQUAL("host-1", decoded->sender.c_str());
   LONGS_EQUAL(99, decoded->store_revision);
   LONGS_EQUAL(3, decoded->targets.at(5).in_flight);
