Admit passed-on requests after a limited target's own, and use more of the limit

Two causes: requests that other targets passed on counted as demand of the target's own objects and displaced them; and the bound over 4 s left no room for the random variation of arrivals.

Passed-on requests are a class of their own, which gets what the others leave. The window takes 15 % and 2 requests more, the mean is held at 1.1 of the limit. Heartbeat rows shrink from 32 to 24 bytes.

Virtual time: RequestsPassedOn_TakeNothingFromThoseAtTheirPlace failed before; the tests of the bound pass.

--- a/modules/gg_core/rate_limit_report.h
+++ b/modules/gg_core/rate_limit_report.h
@@ -14,10 +14,11 @@
       nullopt: its newest response named no limit. */
   std::optional<double> limit;
   Duration age{};  // of the response that stated it
-  /** Requests per second that the daemon would send without the limit, most
-      urgent ones and others. */
+  /** Requests per second that the daemon would send without the limit: most
+      urgent ones, others, and those for which other targets have no room. */
   double urgent_demand = 0;
   double other_demand = 0;
+  double passed_on_demand = 0;
   int recent_sends = 0;  // requests sent in the limiter's window
 };
 
--- a/modules/gg_entry/heartbeat_exchange.h
+++ b/modules/gg_entry/heartbeat_exchange.h
@@ -112,7 +112,7 @@
   std::map<std::string, PeerHeartbeat> pending_heartbeats_;
   std::map<std::string, PeerWork> peer_work_;  // by host name
   /** Holds a datagram that lists 1,500 targets. A longer one is refused. */
-  std::array<char, 24 * 1024> receive_buffer_{};
+  std::array<char, 64 * 1024> receive_buffer_{};  // the largest datagram
   asio::ip::udp::endpoint sender_;
   bool is_leaving_ = false;
   bool is_store_reachable_ = false;
--- a/modules/gg_request/target_rate_limiter.cc
+++ b/modules/gg_request/target_rate_limiter.cc
@@ -8,11 +8,7 @@
 
 constexpr size_t kUrgent = static_cast<size_t>(OfferUrgency::kUrgent);
 constexpr size_t kOther = static_cast<size_t>(OfferUrgency::kOther);
-
-/** Returns the index of the demand and the credit that an offer counts in. */
-size_t IndexOf(OfferUrgency urgency) {
-  return urgency == OfferUrgency::kUrgent ? kUrgent : kOther;
-}
+constexpr size_t kPassedOn = static_cast<size_t>(OfferUrgency::kPassedOn);
 
 /** Credit that offers can add up to while the window's bound holds them back.
  */
@@ -91,6 +87,7 @@
 void TargetRateLimiter::FleetTotals::Add(const RateLimitReport& report) {
   demand[kUrgent] += report.urgent_demand;
   demand[kOther] += report.other_demand;
+  demand[kPassedOn] += report.passed_on_demand;
   sends += report.recent_sends;
 }
 
@@ -99,7 +96,7 @@
                                                          TimePoint now) {
   RemoveExpiredSends(target, now);
   FleetTotals totals;
-  for (const size_t urgency : {kUrgent, kOther}) {
+  for (size_t urgency = 0; urgency < kOfferUrgencyCount; ++urgency) {
     totals.demand[urgency] = Demand(target->demand[urgency], now);
   }
   totals.sends = static_cast<double>(target->sends.size());
@@ -121,7 +118,7 @@
   const double unheard_ratio = static_cast<double>(unheard) / heard;
   totals.staleness =
       (age_sum + unheard * window) / ((heard + unheard) * window);
-  for (const size_t urgency : {kUrgent, kOther}) {
+  for (size_t urgency = 0; urgency < kOfferUrgencyCount; ++urgency) {
     totals.demand[urgency] += std::max(totals.demand[urgency] * unheard_ratio,
                                        outdated.demand[urgency]);
   }
@@ -140,8 +137,9 @@
                                       OfferUrgency urgency) const {
   const double allowed =
       EnforcedLimit(target, totals) * ToSeconds(options_.window);
-  const bool is_urgent = urgency == OfferUrgency::kUrgent;
-  return allowed * (is_urgent ? 1 : 1 - options_.urgent_fraction) +
+  const double reserved =
+      options_.reserved_fraction * static_cast<double>(urgency);
+  return allowed * (1 + options_.window_tolerance) * (1 - reserved) +
          options_.window_allowance;
 }
 
@@ -153,21 +151,30 @@
   const double other = totals.demand[kOther];
   const double for_other = std::min(
       other, std::max(limit - urgent, limit * options_.other_fraction));
-  const bool is_urgent = urgency == OfferUrgency::kUrgent;
-  const double demand = is_urgent ? urgent : other;
-  const double admitted = is_urgent ? limit - for_other : for_other;
-  const double fraction = demand <= admitted ? 1 : admitted / demand;
-  if (urgency != OfferUrgency::kPassedOn) return fraction;
+  const double for_urgent = std::min(urgent, limit - for_other);
+  const auto fraction = [](double admitted, double demand) {
+    return demand <= admitted ? 1 : admitted / demand;
+  };
+  switch (urgency) {
+    case OfferUrgency::kUrgent:
+      return fraction(for_urgent, urgent);
+    case OfferUrgency::kOther:
+      return fraction(for_other, other);
+    case OfferUrgency::kPassedOn:
+      break;
+  }
   const double burst =
       limit * ToSeconds(options_.window) * options_.burst_tolerance +
       options_.burst_allowance;
-  return std::min(fraction, burst / sender_count_);
+  return std::min(
+      fraction(limit - for_urgent - for_other, totals.demand[kPassedOn]),
+      burst / sender_count_);
 }
 
 bool TargetRateLimiter::TryAdmit(uint64_t id, OfferUrgency urgency,
                                  TimePoint now) {
   Target& target = FindOrAdd(id, now);
-  const size_t index = IndexOf(urgency);
+  const size_t index = static_cast<size_t>(urgency);
   DecayingRate& rate = target.demand[index];
   rate.count = Demand(rate, now) * ToSeconds(options_.demand_time_constant) + 1;
   rate.updated_at = now;
@@ -194,7 +201,7 @@
   Target& target = FindOrAdd(id, now);
   if (!target.limit) return Duration::zero();
   const FleetTotals totals = Totals(id, &target, now);
-  const size_t index = IndexOf(urgency);
+  const size_t index = static_cast<size_t>(urgency);
   const double rate = Demand(target.demand[index], now) *
                       AdmittedFraction(target, totals, urgency);
   const double missing_credit = std::max(1 - target.credit[index], 0.0);
@@ -222,9 +229,11 @@
         .age = now - *target.limit_known_at,
         .urgent_demand = Demand(target.demand[kUrgent], now),
         .other_demand = Demand(target.demand[kOther], now),
+        .passed_on_demand = Demand(target.demand[kPassedOn], now),
         .recent_sends = static_cast<int>(target.sends.size())};
     const bool has_news =
-        report.urgent_demand + report.other_demand >= kMinReportedDemand ||
+        report.urgent_demand + report.other_demand + report.passed_on_demand >=
+            kMinReportedDemand ||
         report.recent_sends > 0;
     if (target.limit ? has_news : report.age < kEndReportTime) {
       reports[id] = report;
--- a/modules/gg_request/target_rate_limiter.h
+++ b/modules/gg_request/target_rate_limiter.h
@@ -13,13 +13,16 @@
 
 namespace greengage {
 
-/** Urgency of a request that is offered to a rate-limited target. */
+/** Urgency of a request that is offered to a rate-limited target. Less urgent
+    ones get what the more urgent ones leave. */
 enum class OfferUrgency {
   kUrgent,    // of the highest priority of its service, at its first choice
   kOther,     // of lower priority, at its first choice
   kPassedOn,  // another target has no room for it
 };
 
+inline constexpr size_t kOfferUrgencyCount = 3;
+
 /** Keeps the requests of all daemons to a target within the rate that the
     target names.
 
@@ -61,12 +64,15 @@
     /** Rate that is admitted while the window has room, as a multiple of the
         limit. Random variation of the demand would leave a part of the limit
         unused otherwise; the bound on the window holds the mean. */
-    double pace = 1.3;
+    double pace = 1.1;
     /** Requests of all daemons in the window beyond those that the limit
-        allows. */
-    double window_allowance = 1;
-    /** Fraction of the window that only urgent requests may use. */
-    double urgent_fraction = 0.1;
+       allows, for the random variation of arrivals: a fraction of them, and a
+        number. */
+    double window_tolerance = 0.15;
+    double window_allowance = 2;
+    /** Fraction of the window that is kept for more urgent requests, for each
+        class that is less urgent. */
+    double reserved_fraction = 0.1;
     /** Fraction of the limit that is left unused if all reports are as old as
         the window. */
     double staleness_reserve = 0.5;
@@ -141,9 +147,9 @@
   struct Target {
     std::optional<double> limit;
     std::optional<TimePoint> limit_known_at;  // when its response was received
-    std::array<DecayingRate, 2> demand;       // by OfferUrgency
+    std::array<DecayingRate, kOfferUrgencyCount> demand;  // by OfferUrgency
     /** Admitted requests that are due, a fraction of one, by OfferUrgency. */
-    std::array<double, 2> credit{};
+    std::array<double, kOfferUrgencyCount> credit{};
     std::deque<TimePoint> sends;  // in the window
     TimePoint used_at{};
   };
@@ -153,7 +159,7 @@
   };
   /** Sums over all daemons. */
   struct FleetTotals {
-    std::array<double, 2> demand{};  // by OfferUrgency
+    std::array<double, kOfferUrgencyCount> demand{};  // by OfferUrgency
     double sends = 0;
     /** Mean age of the reports, from 0 to 1 for the length of the window. */
     double staleness = 0;
--- a/modules/gg_wire/entry_heartbeat_codec.cc
+++ b/modules/gg_wire/entry_heartbeat_codec.cc
@@ -17,34 +17,30 @@
 /** Unit of rates, requests per second. */
 constexpr double kRateUnit = 0.01;
 
-/** Largest rate that is sent, in units. */
-constexpr double kMaxRateUnits = 4e9;
-
-uint32_t EncodeRate(double rate) {
-  return static_cast<uint32_t>(
-      std::clamp(std::round(rate / kRateUnit), 0.0, kMaxRateUnits));
+/** Converts to an unsigned wire type. Values beyond its range are clamped. */
+template <typename Wire>
+Wire Clamp(double value) {
+  constexpr double kMax = std::numeric_limits<Wire>::max();
+  return static_cast<Wire>(std::clamp(std::round(value), 0.0, kMax));
 }
 
 wire::LimitedTarget EncodeRateLimit(uint64_t key_hash,
                                     const RateLimitReport& report) {
-  const auto age_ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(report.age).count();
-  constexpr auto kMaxAge = std::numeric_limits<uint32_t>::max();
-  constexpr auto kMaxSends = std::numeric_limits<uint16_t>::max();
-  return {
-      key_hash,
-      EncodeRate(report.limit.value_or(0)),
-      static_cast<uint32_t>(std::clamp<int64_t>(age_ms, 0, kMaxAge)),
-      EncodeRate(report.urgent_demand),
-      EncodeRate(report.other_demand),
-      static_cast<uint16_t>(std::clamp<int>(report.recent_sends, 0, kMaxSends)),
-      report.limit.has_value()};
+  return {key_hash,
+          Clamp<uint32_t>(report.limit.value_or(0) / kRateUnit),
+          Clamp<uint16_t>(ToSeconds(report.age) * 1000),
+          Clamp<uint16_t>(report.urgent_demand / kRateUnit),
+          Clamp<uint16_t>(report.other_demand / kRateUnit),
+          Clamp<uint16_t>(report.passed_on_demand / kRateUnit),
+          Clamp<uint16_t>(report.recent_sends),
+          report.limit.has_value()};
 }
 
 RateLimitReport DecodeRateLimit(const wire::LimitedTarget& row) {
   RateLimitReport report{.age = std::chrono::milliseconds(row.age_ms()),
                          .urgent_demand = row.urgent_demand() * kRateUnit,
                          .other_demand = row.other_demand() * kRateUnit,
+                         .passed_on_demand = row.passed_on_demand() * kRateUnit,
                          .recent_sends = row.recent_sends()};
   if (row.has_limit()) report.limit = row.limit() * kRateUnit;
   return report;
--- a/tests/entry/target_rate_limiter_test.cc
+++ b/tests/entry/target_rate_limiter_test.cc
@@ -225,6 +225,27 @@
   CHECK_TRUE(other > 0);
 }
 
+TEST(TargetRateLimiter, RequestsPassedOn_TakeNothingFromThoseAtTheirPlace) {
+  limiter.RecordResponse(kTarget, 5, At(0));
+  int passed_on = 0;
+  int at_their_place = 0;
+  for (double now = 0; now < 20; now += 0.05) {
+    // Twice the limit is passed on, and half of it belongs here.
+    for (int i = 0; i < 2; ++i) {
+      if (!limiter.TryAdmit(kTarget, OfferUrgency::kPassedOn, At(now)))
+        continue;
+      limiter.RecordSend(kTarget, At(now));
+      ++passed_on;
+    }
+    if (static_cast<int>(now / 0.05) % 8 != 0) continue;
+    if (!limiter.TryAdmit(kTarget, OfferUrgency::kOther, At(now))) continue;
+    limiter.RecordSend(kTarget, At(now));
+    ++at_their_place;
+  }
+  CHECK_TRUE(at_their_place >= 0.8 * 2.5 * 20);
+  CHECK_TRUE(passed_on > 0);
+}
+
 TEST(TargetRateLimiter, ResponseWithoutALimit_EndsIt) {
   limiter.RecordResponse(kTarget, 1, At(0));
   CHECK_TRUE(CountAdmitted(100, 0, 0.02) < 10);
