Log the store's era and the items that are passed over

The logs could not tell whether a change had not arrived or had not been applied. The platform's adapter decodes the store's era, E404 says when it changes, and E405 names an item with an older revision than the known one of its key.

--- a/modules/gg_core/event.cc
+++ b/modules/gg_core/event.cc
@@ -48,6 +48,8 @@
       {Event::kStoreUnavailable, "store_unavailable"},
       {Event::kStoreReadAnew, "store_read_anew"},
       {Event::kMemberRegistered, "member_registered"},
+      {Event::kStoreEraChanged, "store_era_changed"},
+      {Event::kStoreItemPassedOver, "store_item_passed_over"},
       {Event::kRelayFollowed, "relay_followed"},
       {Event::kRelayLost, "relay_lost"},
       {Event::kRelayListenerGone, "relay_listener_gone"},
--- a/modules/gg_core/event.h
+++ b/modules/gg_core/event.h
@@ -43,6 +43,8 @@
   kStoreUnavailable = 401,
   kStoreReadAnew = 402,
   kMemberRegistered = 403,
+  kStoreEraChanged = 404,
+  kStoreItemPassedOver = 405,
   kRelayFollowed = 410,
   kRelayLost = 411,
   kRelayListenerGone = 412,
--- a/modules/gg_entry/store_sync.cc
+++ b/modules/gg_entry/store_sync.cc
@@ -107,20 +107,43 @@
 void StoreSync::Deliver(const std::vector<KeyValueItem>& items,
                         SnapshotComplete* snapshot) {
   std::vector<FleetEvent> events;
+  const KeyValueItem* passed_over = nullptr;
+  uint64_t passed_over_for = 0;  // revision of the same key, known before
   for (const KeyValueItem& item : items) {
     std::optional<FleetEvent> event = decode_item_(item.key, item.value);
     if (!event) continue;
     if (snapshot != nullptr) AddToSnapshot(*event, snapshot);
     newest_revision_ = std::max(newest_revision_, item.revision);
     uint64_t& newest = delivered_revisions_[item.key];
+    if (item.revision < newest) {
+      passed_over = &item;
+      passed_over_for = newest;
+    }
     if (item.revision <= newest) continue;  // delivered before
     newest = item.revision;
     if (!item.value) delivered_revisions_.erase(item.key);
     events.push_back(*std::move(event));
   }
+  if (passed_over != nullptr) {
+    LogEvent(LogLevel::kWarning, Event::kStoreItemPassedOver,
+             absl::StrCat(
+                 "key=", passed_over->key, " revision=", passed_over->revision,
+                 " known=", passed_over_for, " era=", era_.value_or(0)));
+  }
   if (!events.empty()) hooks_.on_events(std::move(events));
 }
 
+void StoreSync::NoteEra(const KeyValueReadResult& read) {
+  if (!read.era || era_ == read.era) return;
+  if (era_) {
+    LogEvent(LogLevel::kInfo, Event::kStoreEraChanged,
+             absl::StrCat("era=", *read.era, " previous=", *era_,
+                          " revision=", read.store_revision,
+                          " known=", watched_revision_));
+  }
+  era_ = read.era;
+}
+
 asio::awaitable<bool> StoreSync::ReadAll() {
   SnapshotComplete snapshot;
   std::string after;
@@ -129,6 +152,7 @@
     const auto page = co_await store_.read_page(after);
     ReportReachability(page.status());
     if (!page.ok()) co_return false;
+    NoteEra(*page);
     // The pages are not a consistent snapshot, so the watch starts at the
     // revision of the first one.
     if (first_revision == 0) first_revision = page->store_revision;
@@ -174,6 +198,7 @@
       continue;
     }
     failures = 0;
+    NoteEra(*changes);
     Deliver(changes->items, nullptr);
     watched_revision_ = std::max(watched_revision_, changes->store_revision);
     if (hooks_.on_changes) hooks_.on_changes(*changes);
--- a/modules/gg_entry/store_sync.h
+++ b/modules/gg_entry/store_sync.h
@@ -92,6 +92,8 @@
       @param snapshot  receives what the items list; may be nullptr. */
   void Deliver(const std::vector<KeyValueItem>& items,
                SnapshotComplete* snapshot);
+  /** Records the era that a response names. */
+  void NoteEra(const KeyValueReadResult& read);
   asio::awaitable<void> WaitForStore(int failures);
   void ReportReachability(const absl::Status& status);
   Duration Backoff(int failures);
@@ -106,7 +108,8 @@
   Random random_;
   uint64_t watched_revision_ = 0;  // watches report the changes after it
   std::map<std::string, uint64_t> delivered_revisions_;  // newest, by key
-  uint64_t lease_ = 0;                                   // 0: none
+  std::optional<uint64_t> era_;  // newest that a response named
+  uint64_t lease_ = 0;           // 0: none
   bool is_reachable_ = false;
   uint64_t newest_revision_ = 0;
   uint64_t peer_revision_ = 0;          // newest that another daemon has seen
