--- a/tests/standins/platform_standin.cc
+++ b/tests/standins/platform_standin.cc
@@ -170,6 +170,26 @@
   compacted_revision_ = revision_;
 }
 
+void PlatformStandin::CopyStore() {
+  const std::lock_guard lock(mutex_);
+  copy_ = {items_, revision_, last_lease_id_, lease_deadlines_};
+}
+
+void PlatformStandin::RestoreStore() {
+  const std::lock_guard lock(mutex_);
+  items_ = copy_.items;
+  revision_ = copy_.revision;
+  last_lease_id_ = copy_.last_lease_id;
+  lease_deadlines_ = copy_.lease_deadlines;
+  // The leases run again from now on.
+  for (auto& [lease, deadline] : lease_deadlines_) {
+    deadline = Now() + lease_ttls_[lease];
+  }
+  history_.clear();
+  compacted_revision_ = 0;
+  ++era_;
+}
+
 int PlatformStandin::RunCount(const std::string& request_id) const {
   const std::lock_guard lock(mutex_);
   const auto found = run_counts_.find(request_id);
@@ -327,6 +347,7 @@
   }
   http::response<http::string_body> response(status, 11);
   response.set(http::field::content_type, "application/json");
+  response.set("Store-Era", std::to_string(era_));
   response.body() = response_body;
   co_return co_await Send(connection, *request, std::move(response));
 }
@@ -349,11 +370,14 @@
         events = json({{"events", json::array()}, {"asOf", revision_}}).dump();
       }
     }
-    if (is_compacted) {
-      co_return co_await Send(connection, request,
-                              StatusResponse(http::status::gone));
+    if (is_compacted || events) {
+      http::response<http::string_body> response(
+          is_compacted ? http::status::gone : http::status::ok, 11);
+      response.set(http::field::content_type, "application/json");
+      response.set("Store-Era", std::to_string(era_));
+      if (!is_compacted) response.body() = *events;
+      co_return co_await Send(connection, request, std::move(response));
     }
-    if (events) co_return co_await SendJson(connection, request, *events);
     co_await SleepFor(kWatchPollInterval);
   }
 }
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -87,6 +87,13 @@
       fail with status 410. */
   void Compact();
 
+  /** Keeps a copy of the store's items and leases. */
+  void CopyStore();
+
+  /** Replaces the store's contents by the copy. Revisions and lease IDs are
+      given out again, in a new era. */
+  void RestoreStore();
+
   //==============================================================================
   /** Returns how many times all targets together ran the request. */
   int RunCount(const std::string& request_id) const;
@@ -117,6 +124,13 @@
     std::optional<Item> item;
     uint64_t revision = 0;
   };
+  /** Contents of the store that a copy holds. */
+  struct StoreContents {
+    std::map<std::string, Item> items;
+    uint64_t revision = 10;
+    uint64_t last_lease_id = 100;
+    std::map<uint64_t, TimePoint> lease_deadlines;  // by lease ID
+  };
   struct Target {
     std::string id;
     std::string address;
@@ -157,6 +171,8 @@
   std::map<uint64_t, TimePoint> lease_deadlines_;  // by lease ID
   std::map<uint64_t, Duration> lease_ttls_;
   uint64_t last_lease_id_ = 100;
+  StoreContents copy_;
+  std::atomic<uint64_t> era_ = 1;
   std::map<std::string, Target> targets_;
   std::map<std::string, TimePoint> departure_times_;
   std::vector<Duration> times_since_departure_;
