Order what is known of the store by era and revision

Cause: revisions were taken for growing forever. After the store came back from a copy, a change written at a revision that the daemon knew of the same key counted as delivered before (E405 and the reproduction), a watch could continue from a revision of the older era and miss what lay before it, and daemons broke off their watches because of revisions that heartbeats still named.

StorePosition orders by era, then revision: delivered items, the watch, what heartbeats and the zone's relay say. The era is taken from every response of the store, also of lease renewals; a newer one ends the watch and everything is read again, in one era. A lease of an older era is not renewed, as its number may be another daemon's, and a daemon whose entry is gone registers again.

Six new tests of StoreSync, the relay and its history.

--- a/modules/gg_core/event.cc
+++ b/modules/gg_core/event.cc
@@ -50,6 +50,7 @@
       {Event::kMemberRegistered, "member_registered"},
       {Event::kStoreEraChanged, "store_era_changed"},
       {Event::kStoreItemPassedOver, "store_item_passed_over"},
+      {Event::kMemberEntryLost, "member_entry_lost"},
       {Event::kRelayFollowed, "relay_followed"},
       {Event::kRelayLost, "relay_lost"},
       {Event::kRelayListenerGone, "relay_listener_gone"},
--- a/modules/gg_core/event.h
+++ b/modules/gg_core/event.h
@@ -45,6 +45,7 @@
   kMemberRegistered = 403,
   kStoreEraChanged = 404,
   kStoreItemPassedOver = 405,
+  kMemberEntryLost = 406,
   kRelayFollowed = 410,
   kRelayLost = 411,
   kRelayListenerGone = 412,
--- a/modules/gg_core/key_value.h
+++ b/modules/gg_core/key_value.h
@@ -19,9 +19,7 @@
 struct KeyValueReadResult {
   std::vector<KeyValueItem> items;
   uint64_t store_revision = 0;  // at which the items are current
-  /** Of the store's history, in which revisions are unique; nullopt: the store
-      names none. It rises when the store is restored from an older copy. */
-  std::optional<uint64_t> era;
+  uint64_t era = 0;             // see StorePosition
   bool has_more = false;        // reads only: continue after the last key
   /** Relayed by another daemon. Such a result does not show whether the store
       answers this daemon, and its changes may have been collected over some
--- a/modules/gg_entry/change_history.cc
+++ b/modules/gg_entry/change_history.cc
@@ -11,11 +11,11 @@
 
 }  // namespace
 
-void ChangeHistory::Reset(uint64_t revision) {
+void ChangeHistory::Reset(StorePosition position) {
   items_.clear();
   bytes_ = 0;
-  complete_after_ = revision;
-  store_revision_ = revision;
+  complete_after_ = position;
+  store_revision_ = position.revision;
 }
 
 void ChangeHistory::Add(const KeyValueReadResult& changes) {
@@ -26,18 +26,24 @@
   store_revision_ = std::max(store_revision_, changes.store_revision);
   while (bytes_ > options_.max_bytes && items_.size() > 1) {
     bytes_ -= BytesOf(items_.front());
-    complete_after_ =
-        std::max(complete_after_.value_or(0), items_.front().revision);
+    if (complete_after_) {
+      complete_after_->revision =
+          std::max(complete_after_->revision, items_.front().revision);
+    }
     items_.pop_front();
   }
 }
 
 std::optional<KeyValueReadResult> ChangeHistory::ChangesAfter(
-    uint64_t revision) const {
-  if (!complete_after_ || revision < *complete_after_) return std::nullopt;
-  KeyValueReadResult changes{.store_revision = store_revision_};
+    StorePosition position) const {
+  const bool is_known = complete_after_ &&
+                        position.era == complete_after_->era &&
+                        position.revision >= complete_after_->revision;
+  if (!is_known) return std::nullopt;
+  KeyValueReadResult changes{.store_revision = store_revision_,
+                             .era = position.era};
   for (const KeyValueItem& item : items_) {
-    if (item.revision > revision) changes.items.push_back(item);
+    if (item.revision > position.revision) changes.items.push_back(item);
   }
   return changes;
 }
--- a/modules/gg_entry/change_history.h
+++ b/modules/gg_entry/change_history.h
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "gg_core/key_value.h"
+#include "gg_core/store_position.h"
 
 namespace greengage {
 
@@ -22,23 +23,24 @@
 
   explicit ChangeHistory(Options options) : options_(options) {}
 
-  /** Clears the history. All changes after `revision` will be added. */
-  void Reset(uint64_t revision);
+  /** Clears the history. All changes after `position`, of the same era, will be
+      added. */
+  void Reset(StorePosition position);
 
   /** Adds changes, in the order in which the store reported them. Drops the
       oldest changes when the size limit is exceeded. */
   void Add(const KeyValueReadResult& changes);
 
-  /** Returns all changes after `revision`, or nothing when some of them were
-      dropped or the store was not read yet. */
-  std::optional<KeyValueReadResult> ChangesAfter(uint64_t revision) const;
+  /** Returns all changes after `position`, or nothing when it is of another
+     era, some of them were dropped, or the store was not read yet. */
+  std::optional<KeyValueReadResult> ChangesAfter(StorePosition position) const;
 
  private:
   Options options_;
   std::deque<KeyValueItem> items_;
   size_t bytes_ = 0;
-  // All changes after this revision are in items_; empty before the first read.
-  std::optional<uint64_t> complete_after_;
+  // All changes after this position are in items_; empty before the first read.
+  std::optional<StorePosition> complete_after_;
   uint64_t store_revision_ = 0;
 };
 
--- a/modules/gg_entry/change_relay.cc
+++ b/modules/gg_entry/change_relay.cc
@@ -103,10 +103,11 @@
   }
   const auto changes = history_.ChangesAfter(*after);
   if (!changes) {
-    Disconnect(subscriber, absl::StrCat("no history from ", *after));
+    Disconnect(subscriber, absl::StrCat("no history from ", after->revision,
+                                        " of era ", after->era));
     co_return;
   }
-  subscriber->known_revision = *after;
+  subscriber->known_revision = after->revision;
   SendChanges(subscriber, *changes);
   // The subscriber sends nothing more; readability means that it disconnected.
   co_await subscriber->socket.async_wait(asio::socket_base::wait_read,
@@ -114,8 +115,8 @@
   Disconnect(subscriber, "left");
 }
 
-void ChangeRelay::Reset(uint64_t revision) {
-  history_.Reset(revision);
+void ChangeRelay::Reset(StorePosition position) {
+  history_.Reset(position);
   while (!subscribers_.empty()) Disconnect(subscribers_.front(), "read anew");
 }
 
@@ -129,7 +130,8 @@
 
 void ChangeRelay::SendChanges(const SubscriberPtr& subscriber,
                               const KeyValueReadResult& changes) {
-  KeyValueReadResult unseen{.store_revision = changes.store_revision};
+  KeyValueReadResult unseen{.store_revision = changes.store_revision,
+                            .era = changes.era};
   for (const KeyValueItem& item : changes.items) {
     if (item.revision > subscriber->known_revision) {
       unseen.items.push_back(item);
--- a/modules/gg_entry/change_relay.h
+++ b/modules/gg_entry/change_relay.h
@@ -14,11 +14,11 @@
 /** Relays the store's changes to the daemons of this daemon's zone that do not
     watch the store themselves.
 
-    A subscriber connects, sends the newest revision that it knows, and is sent
+    A subscriber connects, sends the newest position that it knows, and is sent
     all later changes as they occur. A subscriber that asks for changes which
-    are no longer kept is disconnected. All subscribers are disconnected when
-    the history is reset. A disconnected subscriber reads from the store.
-    Traffic thread only. */
+    are no longer kept, or of another era of the store, is disconnected. All
+   subscribers are disconnected when the history is reset. A disconnected
+   subscriber reads from the store. Traffic thread only. */
 class ChangeRelay {
  public:
   struct Options {
@@ -40,9 +40,9 @@
       address. */
   absl::Status Start();
 
-  /** Clears the history after a full read of the store as of `revision`, and
+  /** Clears the history after a full read of the store as of `position`, and
       disconnects all subscribers. */
-  void Reset(uint64_t revision);
+  void Reset(StorePosition position);
 
   /** Adds changes to the history and sends them to all subscribers. */
   void Publish(const KeyValueReadResult& changes);
--- a/modules/gg_entry/entry_daemon.cc
+++ b/modules/gg_entry/entry_daemon.cc
@@ -88,9 +88,9 @@
                         [this](FleetEvent event) {
                           fleet_control.Send({std::move(event)});
                         },
-                    .on_store_revision =
-                        [this](uint64_t revision) {
-                          store_sync.NotePeerRevision(revision);
+                    .on_store_position =
+                        [this](StorePosition position) {
+                          store_sync.NotePeerPosition(position);
                         }}),
         traffic_listener(&io, MakeListenerOptions(
                                   settings.traffic_address,
@@ -142,16 +142,17 @@
   }
 
   StoreSync::Hooks MakeStoreHooks() {
-    return {.on_events =
-                [this](std::vector<FleetEvent> events) {
-                  OnStoreEvents(std::move(events));
-                },
-            .on_full_read =
-                [this](uint64_t revision) { change_relay.Reset(revision); },
-            .on_changes =
-                [this](const KeyValueReadResult& changes) {
-                  change_relay.Publish(changes);
-                }};
+    return {
+        .on_events =
+            [this](std::vector<FleetEvent> events) {
+              OnStoreEvents(std::move(events));
+            },
+        .on_full_read =
+            [this](StorePosition position) { change_relay.Reset(position); },
+        .on_changes =
+            [this](const KeyValueReadResult& changes) {
+              change_relay.Publish(changes);
+            }};
   }
 
   void OnStoreEvents(std::vector<FleetEvent> events) {
@@ -262,7 +263,7 @@
     health_listener.CheckTimeouts(now);
     lookup_listener.CheckTimeouts(now);
     traffic.CloseExpiredConnections(now);
-    heartbeats.SetStoreRevision(store_sync.newest_revision());
+    heartbeats.SetStorePosition(store_sync.newest_position());
     heartbeats.Tick(now);
     store_sync.Tick(now);
     if (++tick_count % kTicksPerSettingsCheck == 0) ReloadSettings("file");
--- a/modules/gg_entry/entry_platform.h
+++ b/modules/gg_entry/entry_platform.h
@@ -7,6 +7,7 @@
 
 #include "absl/status/statusor.h"
 #include "gg_core/key_value.h"
+#include "gg_core/store_position.h"
 #include "gg_entry/entry_settings.h"
 #include "gg_entry/message_codec.h"
 #include "gg_fleet/fleet_event.h"
@@ -21,17 +22,21 @@
   std::function<asio::awaitable<absl::StatusOr<KeyValueReadResult>>(
       std::string after)>
       read_page;
-  /** Waits at most `wait` for changes after the revision `after`. Fails with
+  /** Waits at most `wait` for changes after the position `after`. Fails with
       kOutOfRange when the store no longer has all of them, and with kCancelled
-      after `cancel_watch`. */
+      after `cancel_watch`. The result may be of another era; then it does not
+      continue from `after`. */
   std::function<asio::awaitable<absl::StatusOr<KeyValueReadResult>>(
-      uint64_t after, Duration wait)>
+      StorePosition after, Duration wait)>
       watch;
   /** Cancels a pending watch. */
   std::function<void()> cancel_watch;
   /** Returns when a watch last received a part of its response; TimePoint{} if
       none has yet. */
   std::function<TimePoint()> watch_progress_at;
+  /** Returns the newest era that a response named, also one of a lease or an
+      error; 0: none. */
+  std::function<uint64_t()> newest_era;
   /** Writes a daemon's entry, which lasts as long as its lease. */
   std::function<asio::awaitable<absl::Status>(Member member, uint64_t lease)>
       put_member;
--- a/modules/gg_entry/heartbeat_exchange.cc
+++ b/modules/gg_entry/heartbeat_exchange.cc
@@ -81,7 +81,7 @@
   work.received_at = Now();
   rate_limiter_->RecordPeerReports(
       heartbeat->sender, std::move(heartbeat->rate_limits), work.received_at);
-  hooks_.on_store_revision(heartbeat->store_revision);
+  hooks_.on_store_position(heartbeat->store_position);
   pending_heartbeats_[heartbeat->sender] = {
       heartbeat->sender, heartbeat->incarnation, heartbeat->is_leaving,
       heartbeat->is_store_reachable, heartbeat->evacuated_zones};
@@ -107,7 +107,7 @@
                            .incarnation = options_.incarnation,
                            .is_leaving = is_leaving_,
                            .is_store_reachable = is_store_reachable_,
-                           .store_revision = store_revision_,
+                           .store_position = store_position_,
                            .evacuated_zones = evacuated_zones_,
                            .rate_limits = rate_limiter_->Reports(now)};
   for (size_t i = 0; i < board_->size(); ++i) {
--- a/modules/gg_entry/heartbeat_exchange.h
+++ b/modules/gg_entry/heartbeat_exchange.h
@@ -47,8 +47,9 @@
   struct Hooks {
     /** Receives the heartbeats of the other daemons, once a tick. */
     std::function<void(FleetEvent event)> on_event;
-    /** Receives the newest store revision that another daemon has seen. */
-    std::function<void(uint64_t revision)> on_store_revision;
+    /** Receives the newest position in the store's history that another daemon
+        has seen. */
+    std::function<void(StorePosition position)> on_store_position;
   };
 
   HeartbeatExchange(asio::io_context* context, Options options,
@@ -76,8 +77,8 @@
     evacuated_zones_ = zones;
   }
 
-  /** Sets the revision of the newest change of the store that was seen. */
-  void SetStoreRevision(uint64_t revision) { store_revision_ = revision; }
+  /** Sets the position of the newest change of the store that was seen. */
+  void SetStorePosition(StorePosition position) { store_position_ = position; }
 
   /** Announces at once to all other daemons that this one is leaving. */
   void AnnounceLeaving();
@@ -116,7 +117,7 @@
   asio::ip::udp::endpoint sender_;
   bool is_leaving_ = false;
   bool is_store_reachable_ = false;
-  uint64_t store_revision_ = 0;
+  StorePosition store_position_;
   std::set<std::string> evacuated_zones_;
   uint64_t send_rounds_ = 0;
 };
--- a/modules/gg_entry/relayed_watch.cc
+++ b/modules/gg_entry/relayed_watch.cc
@@ -29,7 +29,7 @@
 
 KeyValueStore RelayedWatch::StoreWithRelayedWatch() {
   KeyValueStore calls = store_;
-  calls.watch = [this](uint64_t after, Duration wait) {
+  calls.watch = [this](StorePosition after, Duration wait) {
     return Watch(after, wait);
   };
   calls.cancel_watch = [this] { CancelWatch(); };
@@ -67,7 +67,7 @@
 }
 
 asio::awaitable<absl::StatusOr<KeyValueReadResult>> RelayedWatch::Watch(
-    uint64_t after, Duration wait) {
+    StorePosition after, Duration wait) {
   while (ShouldUseRelay()) {
     const std::string used_address = relay_address_;
     is_reading_relay_ = true;
@@ -85,7 +85,7 @@
   co_return co_await store_.watch(after, wait);
 }
 
-asio::awaitable<absl::Status> RelayedWatch::Connect(uint64_t after) {
+asio::awaitable<absl::Status> RelayedWatch::Connect(StorePosition after) {
   const auto endpoint = ParseEndpoint(relay_address_);
   if (!endpoint) {
     co_return StepError(absl::StatusCode::kInvalidArgument, Step::kPeerFrame,
@@ -112,12 +112,13 @@
 }
 
 asio::awaitable<absl::StatusOr<KeyValueReadResult>> RelayedWatch::ReadFromRelay(
-    uint64_t after) {
+    StorePosition after) {
   if (connection_ == nullptr) {
     const absl::Status connected = co_await Connect(after);
     if (!connected.ok()) co_return connected;
     LogEvent(LogLevel::kInfo, Event::kRelayFollowed,
-             absl::StrCat("relay=", relay_address_, " after=", after));
+             absl::StrCat("relay=", relay_address_, " after=", after.revision,
+                          " era=", after.era));
   }
   const std::shared_ptr<Connection> connection = connection_;
   const std::string peer = relay_address_;
--- a/modules/gg_entry/relayed_watch.h
+++ b/modules/gg_entry/relayed_watch.h
@@ -41,7 +41,7 @@
 
   /** Waits for changes; see KeyValueStore. There is no time limit for a relay,
       because the revisions in heartbeats show when it has stopped sending. */
-  asio::awaitable<absl::StatusOr<KeyValueReadResult>> Watch(uint64_t after,
+  asio::awaitable<absl::StatusOr<KeyValueReadResult>> Watch(StorePosition after,
                                                             Duration wait);
 
   /** Cancels a pending watch: closes the connection to the relay and switches
@@ -52,8 +52,8 @@
   struct Connection;
 
   asio::awaitable<absl::StatusOr<KeyValueReadResult>> ReadFromRelay(
-      uint64_t after);
-  asio::awaitable<absl::Status> Connect(uint64_t after);
+      StorePosition after);
+  asio::awaitable<absl::Status> Connect(StorePosition after);
   bool ShouldUseRelay() const;
   void CloseConnection();
 
--- a/modules/gg_entry/store_sync.cc
+++ b/modules/gg_entry/store_sync.cc
@@ -48,14 +48,30 @@
   if (lease_ != 0) asio::co_spawn(*context_, RevokeLease(), asio::detached);
 }
 
-void StoreSync::NotePeerRevision(uint64_t revision) {
-  peer_revision_ = std::max(peer_revision_, revision);
+void StoreSync::NotePeerPosition(StorePosition position) {
+  // Daemons of earlier builds name no era.
+  if (position.era == 0) position.era = watched_position_.era;
+  peer_position_ = std::max(peer_position_, position);
+}
+
+uint64_t StoreSync::NewestEra() const {
+  const uint64_t named = store_.newest_era ? store_.newest_era() : 0;
+  return std::max({named, peer_position_.era, watched_position_.era});
+}
+
+bool StoreSync::IsRestored() const {
+  return NewestEra() > std::max(watched_position_.era, era_at_last_read_);
 }
 
 void StoreSync::Tick(TimePoint now) {
+  // A watch of an older era may stay silent while changes occur.
+  if (IsRestored()) {
+    store_.cancel_watch();
+    return;
+  }
   // A watch can't make progress while the store is unreachable.
-  const bool is_behind = is_reachable_ && peer_revision_ > watched_revision_ &&
-                         peer_revision_ != cancelled_at_revision_;
+  const bool is_behind = is_reachable_ && peer_position_ > watched_position_ &&
+                         peer_position_ != cancelled_at_position_;
   if (!is_behind) {
     behind_since_.reset();
     return;
@@ -67,10 +83,11 @@
       std::max({*behind_since_, watch_began_at_, store_.watch_progress_at()});
   if (now - since < options_.max_watch_lag) return;
   behind_since_.reset();
-  cancelled_at_revision_ = peer_revision_;
+  cancelled_at_position_ = peer_position_;
   LogEvent(LogLevel::kInfo, Event::kStoreReadAnew,
-           absl::StrCat("watch broken off: seen=", watched_revision_,
-                        " others=", peer_revision_));
+           absl::StrCat("watch broken off: seen=", watched_position_.revision,
+                        " others=", peer_position_.revision,
+                        " era=", watched_position_.era));
   store_.cancel_watch();
 }
 
@@ -104,64 +121,69 @@
   return FromSeconds(ToSeconds(max_delay) * (0.5 + random_.NextDouble() / 2));
 }
 
-void StoreSync::Deliver(const std::vector<KeyValueItem>& items,
+void StoreSync::Deliver(const std::vector<KeyValueItem>& items, uint64_t era,
                         SnapshotComplete* snapshot) {
   std::vector<FleetEvent> events;
   const KeyValueItem* passed_over = nullptr;
-  uint64_t passed_over_for = 0;  // revision of the same key, known before
+  StorePosition passed_over_for;  // of the same key, known before
   for (const KeyValueItem& item : items) {
     std::optional<FleetEvent> event = decode_item_(item.key, item.value);
     if (!event) continue;
     if (snapshot != nullptr) AddToSnapshot(*event, snapshot);
-    newest_revision_ = std::max(newest_revision_, item.revision);
-    uint64_t& newest = delivered_revisions_[item.key];
-    if (item.revision < newest) {
+    const StorePosition position{.era = era, .revision = item.revision};
+    newest_position_ = std::max(newest_position_, position);
+    StorePosition& newest = delivered_positions_[item.key];
+    if (position < newest) {
       passed_over = &item;
       passed_over_for = newest;
     }
-    if (item.revision <= newest) continue;  // delivered before
-    newest = item.revision;
-    if (!item.value) delivered_revisions_.erase(item.key);
+    if (position <= newest) continue;  // delivered before
+    newest = position;
+    if (!item.value) delivered_positions_.erase(item.key);
+    const auto* unlisted = std::get_if<MemberUnlisted>(&*event);
+    if (unlisted != nullptr && unlisted->name == options_.self.name) {
+      GiveUpLease("the entry is gone");
+    }
     events.push_back(*std::move(event));
   }
   if (passed_over != nullptr) {
     LogEvent(LogLevel::kWarning, Event::kStoreItemPassedOver,
-             absl::StrCat(
-                 "key=", passed_over->key, " revision=", passed_over->revision,
-                 " known=", passed_over_for, " era=", era_.value_or(0)));
+             absl::StrCat("key=", passed_over->key, " era=", era,
+                          " revision=", passed_over->revision,
+                          " known_era=", passed_over_for.era,
+                          " known=", passed_over_for.revision));
   }
   if (!events.empty()) hooks_.on_events(std::move(events));
 }
 
-void StoreSync::NoteEra(const KeyValueReadResult& read) {
-  if (!read.era || era_ == read.era) return;
-  if (era_) {
-    LogEvent(LogLevel::kInfo, Event::kStoreEraChanged,
-             absl::StrCat("era=", *read.era, " previous=", *era_,
-                          " revision=", read.store_revision,
-                          " known=", watched_revision_));
-  }
-  era_ = read.era;
-}
-
 asio::awaitable<bool> StoreSync::ReadAll() {
+  era_at_last_read_ = NewestEra();
   SnapshotComplete snapshot;
   std::string after;
-  uint64_t first_revision = 0;
+  std::optional<StorePosition> first;
   for (;;) {
     const auto page = co_await store_.read_page(after);
     ReportReachability(page.status());
     if (!page.ok()) co_return false;
-    NoteEra(*page);
+    const uint64_t known_era = first ? first->era : watched_position_.era;
+    const uint64_t era = page->era != 0 ? page->era : known_era;
+    if (era != known_era && (first || known_era != 0)) {
+      LogEvent(LogLevel::kWarning, Event::kStoreEraChanged,
+               absl::StrCat("era=", era, " previous=", known_era,
+                            " revision=", page->store_revision,
+                            " known=", watched_position_.revision));
+      // The pages read so far are of another history.
+      if (first || era < known_era) co_return false;
+    }
     // The pages are not a consistent snapshot, so the watch starts at the
     // revision of the first one.
-    if (first_revision == 0) first_revision = page->store_revision;
-    Deliver(page->items, &snapshot);
+    if (!first) first = {.era = era, .revision = page->store_revision};
+    Deliver(page->items, era, &snapshot);
     if (!page->has_more || page->items.empty()) break;
     after = page->items.back().key;
   }
-  watched_revision_ = first_revision;
-  if (hooks_.on_full_read) hooks_.on_full_read(first_revision);
+  watched_position_ = *first;
+  if (hooks_.on_full_read) hooks_.on_full_read(watched_position_);
   hooks_.on_events({std::move(snapshot)});
   co_return true;
 }
@@ -176,19 +198,22 @@
     }
     failures = 0;
     co_await WatchUntilHistoryLost();
-    LogEvent(LogLevel::kInfo, Event::kStoreReadAnew,
-             absl::StrCat("history gone since revision=", watched_revision_));
+    LogEvent(
+        LogLevel::kInfo, Event::kStoreReadAnew,
+        absl::StrCat("history gone since revision=", watched_position_.revision,
+                     " era=", watched_position_.era));
   }
 }
 
 /** Watches for changes until the store no longer has those that follow
-    `watched_revision_`. */
+    `watched_position_`, or was restored. */
 asio::awaitable<void> StoreSync::WatchUntilHistoryLost() {
   int failures = 0;
   for (;;) {
+    if (IsRestored()) co_return;
     watch_began_at_ = std::chrono::steady_clock::now();
     const auto changes =
-        co_await store_.watch(watched_revision_, options_.watch_timeout);
+        co_await store_.watch(watched_position_, options_.watch_timeout);
     if (changes.status().code() == absl::StatusCode::kOutOfRange) co_return;
     if (absl::IsCancelled(changes.status())) continue;  // cancelled here
     const bool is_relayed = changes.ok() && changes->is_relayed;
@@ -197,10 +222,14 @@
       co_await WaitForStore(failures++);
       continue;
     }
+    // Changes of another era don't continue what is known.
+    const bool is_same_era =
+        changes->era == 0 || changes->era == watched_position_.era;
+    if (!is_same_era) co_return;
     failures = 0;
-    NoteEra(*changes);
-    Deliver(changes->items, nullptr);
-    watched_revision_ = std::max(watched_revision_, changes->store_revision);
+    Deliver(changes->items, watched_position_.era, nullptr);
+    watched_position_.revision =
+        std::max(watched_position_.revision, changes->store_revision);
     if (hooks_.on_changes) hooks_.on_changes(*changes);
     if (!changes->items.empty() && !is_relayed) {
       co_await SleepFor(options_.batch_delay);
@@ -208,31 +237,58 @@
   }
 }
 
+void StoreSync::GiveUpLease(const std::string& reason) {
+  if (lease_ == 0 || is_leaving_) return;
+  LogEvent(LogLevel::kInfo, Event::kMemberEntryLost,
+           absl::StrCat("lease=", lease_, " era=", lease_era_, " reason=\"",
+                        reason, "\""));
+  lease_ = 0;
+}
+
+asio::awaitable<absl::Status> StoreSync::RegisterAnew() {
+  const uint64_t era = NewestEra();
+  const auto granted = co_await store_.grant_lease(options_.lease_ttl);
+  if (!granted.ok()) co_return granted.status();
+  const absl::Status put = co_await store_.put_member(options_.self, *granted);
+  if (!put.ok()) co_return put;
+  // A lease that was granted before a restore may be another daemon's after it.
+  const bool is_first_response = era == 0;
+  if (NewestEra() != era && !is_first_response) co_return absl::OkStatus();
+  lease_ = *granted;
+  lease_era_ = NewestEra();
+  LogEvent(LogLevel::kInfo, Event::kMemberRegistered,
+           absl::StrCat("host=", options_.self.name, " lease=", lease_,
+                        " era=", lease_era_));
+  co_return absl::OkStatus();
+}
+
+asio::awaitable<absl::Status> StoreSync::RenewLease() {
+  const uint64_t lease = lease_;
+  absl::Status status = co_await store_.renew_lease(lease);
+  if (lease_ != lease) co_return absl::OkStatus();  // given up meanwhile
+  if (status.code() == absl::StatusCode::kNotFound) {
+    GiveUpLease("expired");
+    co_return absl::OkStatus();
+  }
+  if (NewestEra() != lease_era_) GiveUpLease("the store was restored");
+  co_return status;
+}
+
 asio::awaitable<void> StoreSync::Register() {
   int failures = 0;
   while (!is_leaving_) {
+    if (lease_ != 0 && NewestEra() != lease_era_) {
+      GiveUpLease("the store was restored");
+    }
     absl::Status status;
     if (lease_ == 0) {
-      const auto granted = co_await store_.grant_lease(options_.lease_ttl);
-      status = granted.status();
-      if (granted.ok()) {
-        status = co_await store_.put_member(options_.self, *granted);
-        if (status.ok()) {
-          lease_ = *granted;
-          LogEvent(
-              LogLevel::kInfo, Event::kMemberRegistered,
-              absl::StrCat("host=", options_.self.name, " lease=", lease_));
-        }
-      }
+      status = co_await RegisterAnew();
     } else {
-      status = co_await store_.renew_lease(lease_);
-      if (status.code() == absl::StatusCode::kNotFound) {
-        lease_ = 0;
-        continue;
-      }
+      status = co_await RenewLease();
     }
     ReportReachability(status);
     failures = status.ok() ? 0 : failures + 1;
+    if (status.ok() && lease_ == 0) continue;  // register at once
     co_await SleepFor(status.ok() ? options_.renew_interval
                                   : Backoff(failures));
   }
--- a/modules/gg_entry/store_sync.h
+++ b/modules/gg_entry/store_sync.h
@@ -13,6 +13,11 @@
 /** Keeps this daemon in sync with the store: reads all items, then watches for
     changes. Also registers the daemon in the store under a lease.
 
+    When the store was restored from an older copy, everything is read again, as
+    revisions, watches and leases of the era before mean nothing any more. The
+    restore shows in the era that every response names, and in other daemons'
+    heartbeats.
+
     The store charges for calls and limits their rate. Therefore changes in
     quick succession are read with one call, and failures are followed by an
     exponential backoff with jitter. May be used on its io_context's thread
@@ -53,8 +58,8 @@
         for every new or changed item, one after each full read, and one after
         every call that shows whether the store responds. */
     std::function<void(std::vector<FleetEvent> events)> on_events;
-    /** Called after a full read of the store as of `revision`. Optional. */
-    std::function<void(uint64_t revision)> on_full_read;
+    /** Called after a full read of the store as of `position`. Optional. */
+    std::function<void(StorePosition position)> on_full_read;
     /** Called with the changes that a watch returned. Optional. */
     std::function<void(const KeyValueReadResult& changes)> on_changes;
   };
@@ -72,15 +77,15 @@
   /** Revokes the lease, which removes this daemon's entry from the store. */
   void Deregister();
 
-  /** Records that another daemon has seen a change of this revision. */
-  void NotePeerRevision(uint64_t revision);
+  /** Records that another daemon has seen a change at this position. */
+  void NotePeerPosition(StorePosition position);
 
   /** Cancels a watch that has missed a change. Called every tick. */
   void Tick(TimePoint now);
 
-  /** Revision of the newest item that was seen. This is not the revision of the
-      store, which also grows without relevant changes. */
-  uint64_t newest_revision() const { return newest_revision_; }
+  /** Position of the newest item that was seen. This is not the position of the
+      store, which also advances without relevant changes. */
+  StorePosition newest_position() const { return newest_position_; }
 
  private:
   asio::awaitable<void> FollowStore();
@@ -88,12 +93,21 @@
   asio::awaitable<void> WatchUntilHistoryLost();
   asio::awaitable<void> Register();
   asio::awaitable<void> RevokeLease();
+  /** Registers this daemon under a new lease. */
+  asio::awaitable<absl::Status> RegisterAnew();
+  /** Renews the lease, or gives it up when it is known to be lost. */
+  asio::awaitable<absl::Status> RenewLease();
+  /** Forgets the lease, so that this daemon registers again. */
+  void GiveUpLease(const std::string& reason);
   /** Passes the new and changed ones among `items` on.
+      @param era       of the items' revisions.
       @param snapshot  receives what the items list; may be nullptr. */
-  void Deliver(const std::vector<KeyValueItem>& items,
+  void Deliver(const std::vector<KeyValueItem>& items, uint64_t era,
                SnapshotComplete* snapshot);
-  /** Records the era that a response names. */
-  void NoteEra(const KeyValueReadResult& read);
+  /** Returns the newest era that the store or another daemon named. */
+  uint64_t NewestEra() const;
+  /** Returns whether the store was restored since it was last read. */
+  bool IsRestored() const;
   asio::awaitable<void> WaitForStore(int failures);
   void ReportReachability(const absl::Status& status);
   Duration Backoff(int failures);
@@ -106,15 +120,17 @@
   Options options_;
   Hooks hooks_;
   Random random_;
-  uint64_t watched_revision_ = 0;  // watches report the changes after it
-  std::map<std::string, uint64_t> delivered_revisions_;  // newest, by key
-  std::optional<uint64_t> era_;  // newest that a response named
-  uint64_t lease_ = 0;           // 0: none
+  StorePosition watched_position_;  // watches report the changes after it
+  std::map<std::string, StorePosition> delivered_positions_;  // newest, by key
+  /** Newest era that was known at the start of the last full read. */
+  uint64_t era_at_last_read_ = 0;
+  uint64_t lease_ = 0;      // 0: none
+  uint64_t lease_era_ = 0;  // in which it was granted
   bool is_reachable_ = false;
-  uint64_t newest_revision_ = 0;
-  uint64_t peer_revision_ = 0;          // newest that another daemon has seen
-  uint64_t cancelled_at_revision_ = 0;  // peer_revision_ at the last cancel
-  /** When another daemon was first seen to have a newer revision. */
+  StorePosition newest_position_;
+  StorePosition peer_position_;          // newest that another daemon has seen
+  StorePosition cancelled_at_position_;  // peer_position_ at the last cancel
+  /** When another daemon was first seen to have a newer position. */
   std::optional<TimePoint> behind_since_;
   TimePoint watch_began_at_{};
   bool is_leaving_ = false;
--- a/modules/gg_wire/change_relay_codec.cc
+++ b/modules/gg_wire/change_relay_codec.cc
@@ -38,19 +38,19 @@
 
 }  // namespace
 
-std::string EncodeRelayRequest(uint64_t after_revision) {
+std::string EncodeRelayRequest(StorePosition after) {
   flatbuffers::FlatBufferBuilder builder;
-  return FinishFrame(&builder,
-                     wire::CreateRelayRequest(builder, after_revision),
-                     kRequestIdentifier);
+  return FinishFrame(
+      &builder, wire::CreateRelayRequest(builder, after.revision, after.era),
+      kRequestIdentifier);
 }
 
-absl::StatusOr<uint64_t> DecodeRelayRequest(std::string_view frame,
-                                            std::string_view peer) {
+absl::StatusOr<StorePosition> DecodeRelayRequest(std::string_view frame,
+                                                 std::string_view peer) {
   const auto root =
       VerifyRoot<wire::RelayRequest>(frame, kRequestIdentifier, peer);
   if (!root.ok()) return root.status();
-  return (*root)->after();
+  return StorePosition{.era = (*root)->era(), .revision = (*root)->after()};
 }
 
 std::string EncodeRelayedChanges(const KeyValueReadResult& changes) {
@@ -66,10 +66,10 @@
         builder, key, bytes, !item.value.has_value(), item.revision));
   }
   const auto rows = builder.CreateVector(items);
-  return FinishFrame(
-      &builder,
-      wire::CreateRelayedChanges(builder, changes.store_revision, rows),
-      kChangesIdentifier);
+  return FinishFrame(&builder,
+                     wire::CreateRelayedChanges(builder, changes.store_revision,
+                                                rows, changes.era),
+                     kChangesIdentifier);
 }
 
 absl::StatusOr<KeyValueReadResult> DecodeRelayedChanges(std::string_view frame,
@@ -78,6 +78,7 @@
       VerifyRoot<wire::RelayedChanges>(frame, kChangesIdentifier, peer);
   if (!root.ok()) return root.status();
   KeyValueReadResult changes{.store_revision = (*root)->store_revision(),
+                             .era = (*root)->era(),
                              .is_relayed = true};
   if ((*root)->items() == nullptr) return changes;
   for (const wire::RelayedItem* row : *(*root)->items()) {
--- a/modules/gg_wire/change_relay_codec.h
+++ b/modules/gg_wire/change_relay_codec.h
@@ -7,6 +7,7 @@
 
 #include "absl/status/statusor.h"
 #include "gg_core/key_value.h"
+#include "gg_core/store_position.h"
 
 namespace greengage {
 
@@ -14,12 +15,12 @@
     to the other daemons of its zone. The encoders add the prefix of
     gg_wire/frame_codec.h; the decoders expect a frame without it and are safe
     for any input.
-    @param after_revision  only changes after this revision are requested.
+    @param after  only changes after this position are requested.
     @param peer  the sender, used in the error.
     @return kInvalidArgument when the bytes are not a valid frame. */
-std::string EncodeRelayRequest(uint64_t after_revision);
-absl::StatusOr<uint64_t> DecodeRelayRequest(std::string_view frame,
-                                            std::string_view peer);
+std::string EncodeRelayRequest(StorePosition after);
+absl::StatusOr<StorePosition> DecodeRelayRequest(std::string_view frame,
+                                                 std::string_view peer);
 
 std::string EncodeRelayedChanges(const KeyValueReadResult& changes);
 absl::StatusOr<KeyValueReadResult> DecodeRelayedChanges(std::string_view frame,
--- a/modules/gg_wire/entry_heartbeat_codec.cc
+++ b/modules/gg_wire/entry_heartbeat_codec.cc
@@ -68,11 +68,12 @@
     limited_rows.push_back(EncodeRateLimit(key_hash, report));
   }
   const auto limited = builder.CreateVectorOfStructs(limited_rows);
-  builder.Finish(wire::CreateEntryHeartbeat(
-                     builder, sender, heartbeat.incarnation,
-                     heartbeat.is_leaving, heartbeat.is_store_reachable,
-                     heartbeat.store_revision, zones, rows, limited),
-                 wire::EntryHeartbeatIdentifier());
+  builder.Finish(
+      wire::CreateEntryHeartbeat(
+          builder, sender, heartbeat.incarnation, heartbeat.is_leaving,
+          heartbeat.is_store_reachable, heartbeat.store_position.revision,
+          zones, rows, limited, heartbeat.store_position.era),
+      wire::EntryHeartbeatIdentifier());
   return {builder.GetBufferPointer(),
           builder.GetBufferPointer() + builder.GetSize()};
 }
@@ -87,11 +88,13 @@
                      "the datagram is no heartbeat");
   }
   const wire::EntryHeartbeat* frame = wire::GetEntryHeartbeat(bytes);
-  EntryHeartbeat heartbeat{.sender = frame->sender()->str(),
-                           .incarnation = frame->incarnation(),
-                           .is_leaving = frame->is_leaving(),
-                           .is_store_reachable = frame->store_reachable(),
-                           .store_revision = frame->store_revision()};
+  EntryHeartbeat heartbeat{
+      .sender = frame->sender()->str(),
+      .incarnation = frame->incarnation(),
+      .is_leaving = frame->is_leaving(),
+      .is_store_reachable = frame->store_reachable(),
+      .store_position = {.era = frame->store_era(),
+                         .revision = frame->store_revision()}};
   if (frame->evacuated() != nullptr) {
     for (const flatbuffers::String* zone : *frame->evacuated()) {
       heartbeat.evacuated_zones.insert(zone->str());
--- a/modules/gg_wire/entry_heartbeat_codec.h
+++ b/modules/gg_wire/entry_heartbeat_codec.h
@@ -9,6 +9,7 @@
 
 #include "absl/status/statusor.h"
 #include "gg_core/rate_limit_report.h"
+#include "gg_core/store_position.h"
 
 namespace greengage {
 
@@ -28,7 +29,7 @@
   uint64_t incarnation = 0;
   bool is_leaving = false;
   bool is_store_reachable = false;  // by the sender
-  uint64_t store_revision = 0;      // of the latest change it received
+  StorePosition store_position;     // of the latest change it received
   /** Availability zones that receive no requests, according to the sender's
       last read of the store. */
   std::set<std::string> evacuated_zones;
--- a/tests/entry/change_relay_test.cc
+++ b/tests/entry/change_relay_test.cc
@@ -20,28 +20,35 @@
 
 TEST(ChangeHistory, BeforeTheFirstRead_ReturnsNoChanges) {
   history.Add(Change("a", 5));
-  CHECK_FALSE(history.ChangesAfter(5).has_value());
+  CHECK_FALSE(history.ChangesAfter({.revision = 5}).has_value());
 }
 
 TEST(ChangeHistory, ChangesAfterARevision_AreReturnedInOrder) {
-  history.Reset(10);
+  history.Reset({.revision = 10});
   history.Add(Change("a", 11));
   history.Add(Change("b", 12));
-  LONGS_EQUAL(2, history.ChangesAfter(10)->items.size());
-  const KeyValueReadResult changes = *history.ChangesAfter(11);
+  LONGS_EQUAL(2, history.ChangesAfter({.revision = 10})->items.size());
+  const KeyValueReadResult changes = *history.ChangesAfter({.revision = 11});
   LONGS_EQUAL(1, changes.items.size());
   STRCMP_EQUAL("b", changes.items[0].key.c_str());
   LONGS_EQUAL(12, changes.store_revision);
-  LONGS_EQUAL(0, history.ChangesAfter(12)->items.size());
+  LONGS_EQUAL(0, history.ChangesAfter({.revision = 12})->items.size());
 }
 
 TEST(ChangeHistory, DroppedChanges_AreNotReportedAsAnEmptyResult) {
-  history.Reset(10);
+  history.Reset({.revision = 10});
   for (uint64_t i = 11; i < 40; ++i) history.Add(Change("key", i));
-  CHECK_FALSE(history.ChangesAfter(10).has_value());
-  CHECK_FALSE(history.ChangesAfter(20).has_value());
-  CHECK_TRUE(history.ChangesAfter(39).has_value());
-  CHECK_TRUE(history.ChangesAfter(37).has_value());
+  CHECK_FALSE(history.ChangesAfter({.revision = 10}).has_value());
+  CHECK_FALSE(history.ChangesAfter({.revision = 20}).has_value());
+  CHECK_TRUE(history.ChangesAfter({.revision = 39}).has_value());
+  CHECK_TRUE(history.ChangesAfter({.revision = 37}).has_value());
+}
+
+TEST(ChangeHistory, PositionOfAnotherEra_ReturnsNoChanges) {
+  history.Reset({.era = 2, .revision = 10});
+  CHECK_TRUE(history.ChangesAfter({.era = 2, .revision = 12}).has_value());
+  CHECK_FALSE(history.ChangesAfter({.era = 1, .revision = 12}).has_value());
+  CHECK_FALSE(history.ChangesAfter({.era = 3, .revision = 12}).has_value());
 }
 
 TEST_GROUP(ChangeRelayCodec){};
@@ -160,7 +167,7 @@
         &io, ChangeRelay::Options{.ip = "127.0.0.1", .port = kPort});
     CHECK_TRUE(relay->Start().ok());
     KeyValueStore store;
-    store.watch = [this](uint64_t, Duration)
+    store.watch = [this](StorePosition, Duration)
         -> asio::awaitable<absl::StatusOr<KeyValueReadResult>> {
       ++store_watches;
       co_return KeyValueReadResult{.store_revision = 99};
@@ -170,12 +177,12 @@
     watch->SetRelayAddress(absl::StrCat("127.0.0.1:", kPort));
   }
 
-  void Watch(uint64_t after) {
+  void Watch(uint64_t after, uint64_t era = 0) {
     asio::co_spawn(
         io,
-        [this, after]() -> asio::awaitable<void> {
-          results.push_back(
-              co_await watch->Watch(after, std::chrono::seconds(1)));
+        [this, after, era]() -> asio::awaitable<void> {
+          results.push_back(co_await watch->Watch(
+              {.era = era, .revision = after}, std::chrono::seconds(1)));
         },
         asio::detached);
   }
@@ -186,7 +193,7 @@
 };
 
 TEST(ChangeRelay, Changes_ArriveWithoutAStoreCall) {
-  relay->Reset(10);
+  relay->Reset({.revision = 10});
   relay->Publish(Change("missed", 11));
   Watch(10);
   RunFor(100);
@@ -204,18 +211,38 @@
 }
 
 TEST(ChangeRelay, DroppedHistory_IsReadFromTheStore) {
-  relay->Reset(10);
+  relay->Reset({.revision = 10});
   Watch(5);
   RunFor(100);
   LONGS_EQUAL(1, store_watches);
   LONGS_EQUAL(99, results.at(0)->store_revision);
 }
 
+// A daemon that knows of a restore must not get the history before it, nor one
+// that does not know of it the history after it.
+TEST(ChangeRelay, SubscriberOfAnotherEra_ReadsFromTheStore) {
+  relay->Reset({.era = 2, .revision = 10});
+  Watch(10, 1);
+  RunFor(100);
+  LONGS_EQUAL(1, store_watches);
+  watch = std::make_unique<RelayedWatch>(&io, RelayedWatch::Options{},
+                                         KeyValueStore{});
+  watch->SetRelayAddress(absl::StrCat("127.0.0.1:", kPort));
+  Watch(10, 2);
+  RunFor(50);
+  KeyValueReadResult change = Change("later", 12);
+  change.era = 2;
+  relay->Publish(change);
+  RunFor(50);
+  LONGS_EQUAL(2, results.size());
+  LONGS_EQUAL(2, results[1]->era);
+}
+
 TEST(ChangeRelay, LostConnection_SwitchesToTheStoreForAWhile) {
-  relay->Reset(10);
+  relay->Reset({.revision = 10});
   Watch(10);
   RunFor(50);
-  relay->Reset(20);  // disconnects all subscribers
+  relay->Reset({.revision = 20});  // disconnects all subscribers
   RunFor(50);
   LONGS_EQUAL(1, store_watches);
   Watch(10);
@@ -227,7 +254,7 @@
 // connection does not fail. The watch is cancelled when other daemons report
 // newer changes.
 TEST(ChangeRelay, SilentRelay_IsDisconnectedWhenTheWatchIsCancelled) {
-  relay->Reset(10);
+  relay->Reset({.revision = 10});
   Watch(10);
   RunFor(50);
   watch->CancelWatch();
@@ -238,7 +265,7 @@
 }
 
 TEST(ChangeRelay, ReplacedRelay_IsDisconnected) {
-  relay->Reset(10);
+  relay->Reset({.revision = 10});
   Watch(10);
   RunFor(50);
   watch->SetRelayAddress("");
@@ -247,7 +274,7 @@
 }
 
 TEST(ChangeRelay, GarbageFromASubscriber_ClosesOnlyItsConnection) {
-  relay->Reset(10);
+  relay->Reset({.revision = 10});
   asio::ip::tcp::socket socket(io);
   socket.connect({asio::ip::make_address("127.0.0.1"), kPort});
   const std::string garbage = "GET / HTTP/1.1\r\n\r\n";
--- a/tests/entry/request_test.cc
+++ b/tests/entry/request_test.cc
@@ -702,7 +702,7 @@
   EntryHeartbeat heartbeat{.sender = "host-1",
                            .incarnation = 7,
                            .is_store_reachable = true,
-                           .store_revision = 99};
+                           .store_position = {.era = 3, .revision = 99}};
   heartbeat.targets[5] = {.in_flight = 3, .slowness = 2.5, .is_ejected = true};
   heartbeat.rate_limits[6] = {.limit = 3.25,
                               .age = std::chrono::milliseconds(120),
@@ -724,7 +724,7 @@
   LONGS_EQUAL(9, limited.recent_sends);
   CHECK_FALSE(decoded->rate_limits.at(7).limit.has_value());
   STRCMP_EQUAL("host-1", decoded->sender.c_str());
-  LONGS_EQUAL(99, decoded->store_revision);
+  CHECK_TRUE((decoded->store_position == StorePosition{3, 99}));
   LONGS_EQUAL(3, decoded->targets.at(5).in_flight);
   DOUBLES_EQUAL(2.5, decoded->targets.at(5).slowness, 1e-9);
   CHECK_TRUE(decoded->targets.at(5).is_ejected);
--- a/tests/entry/store_sync_test.cc
+++ b/tests/entry/store_sync_test.cc
@@ -19,6 +19,11 @@
   int relayed_watches_left = 0;
   int read_calls = 0;
   bool is_store_down = false;
+  uint64_t era = 1;
+  uint64_t first_revision = 10;  // of the items, which follow each other
+  bool has_named_era = false;
+  uint64_t last_lease = 0;
+  std::vector<uint64_t> renewed_leases;
   bool is_response_arriving = false;  // of the pending watch
   /** Expires, or is cancelled, when a pending watch ends. */
   asio::steady_timer watch_timer{io};
@@ -45,29 +50,34 @@
             -> asio::awaitable<absl::StatusOr<KeyValueReadResult>> {
           ++read_calls;
           if (is_store_down) co_return absl::UnavailableError("down");
-          KeyValueReadResult page{.store_revision = 20};
+          has_named_era = true;
+          KeyValueReadResult page{.store_revision = 20, .era = era};
           for (int i = 0; i < stored_items; ++i) {
-            page.items.push_back({absl::StrCat("t-", i), "target", 10});
+            page.items.push_back(
+                {absl::StrCat("t-", i), "target", first_revision});
           }
           co_return page;
         },
-        .watch = [this](uint64_t, Duration) { return Watch(); },
+        .watch = [this](StorePosition, Duration) { return Watch(); },
         .cancel_watch = [this] { watch_timer.cancel(); },
         .watch_progress_at =
             [this] {
               return is_response_arriving ? std::chrono::steady_clock::now()
                                           : TimePoint{};
             },
+        .newest_era = [this] { return has_named_era ? era : 0; },
         .put_member = [](Member, uint64_t) -> asio::awaitable<absl::Status> {
           co_return absl::OkStatus();
         },
         .grant_lease =
             [this](Duration) -> asio::awaitable<absl::StatusOr<uint64_t>> {
           if (is_store_down) co_return absl::UnavailableError("down");
-          co_return uint64_t{1};
+          has_named_era = true;
+          co_return ++last_lease;
         },
-        .renew_lease = [this](uint64_t) -> asio::awaitable<absl::Status> {
+        .renew_lease = [this](uint64_t lease) -> asio::awaitable<absl::Status> {
           if (is_store_down) co_return absl::UnavailableError("down");
+          renewed_leases.push_back(lease);
           co_return absl::OkStatus();
         },
         .revoke_lease = [](uint64_t) -> asio::awaitable<absl::Status> {
@@ -114,7 +124,7 @@
   Start();
   RunFor(std::chrono::milliseconds(200));
   LONGS_EQUAL(1, watch_calls);
-  sync->NotePeerRevision(25);
+  sync->NotePeerPosition({.revision = 25});
   RunFor(std::chrono::milliseconds(1400));
   LONGS_EQUAL(2, watch_calls);
   RunFor(std::chrono::milliseconds(1400));
@@ -128,7 +138,7 @@
   Start();
   RunFor(std::chrono::milliseconds(200));
   is_response_arriving = true;
-  sync->NotePeerRevision(25);
+  sync->NotePeerPosition({.revision = 25});
   RunFor(std::chrono::milliseconds(1400));
   LONGS_EQUAL(1, watch_calls);
   is_response_arriving = false;
@@ -141,7 +151,7 @@
 TEST(StoreSync, CancelledWatch_DoesNotMarkTheStoreUnreachable) {
   Start();
   RunFor(std::chrono::milliseconds(200));
-  sync->NotePeerRevision(25);
+  sync->NotePeerPosition({.revision = 25});
   RunFor(std::chrono::milliseconds(1400));
   LONGS_EQUAL(0, CountUnreachableEvents());
 }
@@ -186,6 +196,58 @@
   CHECK_TRUE(watch_calls > watch_calls_before);
 }
 
+int CountListed(const std::vector<FleetEvent>& events) {
+  return static_cast<int>(
+      std::count_if(events.begin(), events.end(), [](const FleetEvent& event) {
+        return std::holds_alternative<TargetListed>(event);
+      }));
+}
+
+TEST(StoreSync, ItemsAfterARestore_AreDeliveredAtLowerRevisions) {
+  stored_items = 3;
+  Start();
+  RunFor(std::chrono::milliseconds(200));
+  LONGS_EQUAL(3, CountListed(events));
+  // The restore shows in the response to a lease renewal.
+  era = 2;
+  first_revision = 5;
+  RunFor(std::chrono::milliseconds(1600));
+  LONGS_EQUAL(6, CountListed(events));
+  LONGS_EQUAL(2, read_calls);
+  LONGS_EQUAL(2, sync->newest_position().era);
+}
+
+// Its number may have been given to another daemon since.
+TEST(StoreSync, LeaseOfAnOlderEra_IsNotRenewed) {
+  Start();
+  RunFor(std::chrono::milliseconds(200));
+  LONGS_EQUAL(1, last_lease);
+  era = 2;
+  RunFor(std::chrono::milliseconds(3000));
+  LONGS_EQUAL(2, last_lease);
+  for (const uint64_t lease : renewed_leases) LONGS_EQUAL(2, lease);
+  CHECK_TRUE(!renewed_leases.empty());
+}
+
+TEST(StoreSync, NewerEraAtPeers_IsReadOnce) {
+  Start();
+  RunFor(std::chrono::milliseconds(200));
+  LONGS_EQUAL(1, read_calls);
+  sync->NotePeerPosition({.era = 7, .revision = 1});
+  RunFor(std::chrono::milliseconds(1000));
+  LONGS_EQUAL(2, read_calls);
+}
+
+TEST(StoreSync, OlderEraAtPeers_ChangesNothing) {
+  era = 2;
+  Start();
+  RunFor(std::chrono::milliseconds(200));
+  sync->NotePeerPosition({.era = 1, .revision = 900});
+  RunFor(std::chrono::milliseconds(1400));
+  LONGS_EQUAL(1, read_calls);
+  LONGS_EQUAL(1, watch_calls);
+}
+
 TEST(StoreSync, Outage_LimitsTheRateOfReads) {
   is_store_down = true;
   Start();
