Do not let an older copy of the store undo what is known

Found while looking for the same cause elsewhere: the first full read after a restore applied what the copy holds as if it had been written now. A target that was draining or had left since the copy was used again, an evacuation written since was lifted, a daemon that had left was named to callers, and an entry of a daemon's earlier incarnation replaced the running one.

StoreRestored marks the items that come from the copy. An entry of a target that is older than the known or last one (incarnation, then the sequence number that targets count) is passed over; missing targets stay usable for the grace period after an outage, missing evacuations for 3 s; a daemon known only from the copy is named to callers once it is heard. An evacuation that the copy brings back holds until its end is written again.

--- a/modules/gg_entry/store_sync.cc
+++ b/modules/gg_entry/store_sync.cc
@@ -174,6 +174,7 @@
                             " known=", watched_position_.revision));
       // The pages read so far are of another history.
       if (first || era < known_era) co_return false;
+      hooks_.on_events({StoreRestored{}});
     }
     // The pages are not a consistent snapshot, so the watch starts at the
     // revision of the first one.
--- a/modules/gg_fleet/fleet_event.h
+++ b/modules/gg_fleet/fleet_event.h
@@ -51,6 +51,10 @@
   std::string reason;
 };
 
+/** The store was restored from an older copy. The entries that follow, up to
+   the next SnapshotComplete, may be older than what is known of them. */
+struct StoreRestored {};
+
 /** All entries of the store have been reported. Entries that are not listed
     here do not exist in the store. */
 struct SnapshotComplete {
@@ -82,7 +86,7 @@
 /** An event that changes this daemon's view of the fleet. */
 using FleetEvent = std::variant<ConfigReceived, TargetListed, TargetUnlisted,
                                 EvacuationChanged, MemberListed, MemberUnlisted,
-                                ValueRefused, SnapshotComplete,
+                                ValueRefused, StoreRestored, SnapshotComplete,
                                 StoreReachabilityChanged, HeartbeatsReceived>;
 
 }  // namespace greengage
--- a/modules/gg_fleet/fleet_state.cc
+++ b/modules/gg_fleet/fleet_state.cc
@@ -8,6 +8,10 @@
 namespace greengage {
 namespace {
 
+/** How long an evacuation holds that a copy of the store lacks. Operators write
+    it again about two seconds after the store is back. */
+constexpr Duration kEvacuationGracePeriod = std::chrono::seconds(3);
+
 /** Returns the zones that are in only one of the sets, each with the event to
     log for it. */
 std::map<std::string, Event> FindZoneChanges(
@@ -40,6 +44,7 @@
   }
   if (targets_.Tick(now)) has_unpublished_changes_ = true;
   members_.Tick(now);
+  EndUnconfirmedEvacuations(now);
   UpdateEvacuatedZones(now);
   const uint64_t members = members_.Fingerprint(now);
   if (!has_unpublished_changes_ && members == published_member_fingerprint_) {
@@ -95,6 +100,13 @@
 
 void FleetState::Handle(const TargetListed& event, TimePoint now,
                         uint64_t wall_ms) {
+  if (is_reading_copy_ && targets_.IsOutdated(event.record)) {
+    Log(Event::kStoreItemPassedOver,
+        absl::StrCat("target=", event.record.id,
+                     " incarnation=", event.record.incarnation_ms,
+                     " sequence=", event.record.sequence));
+    return;
+  }
   targets_.Put(event.record, config_.get(), now, wall_ms);
   has_unpublished_changes_ = true;
   const TargetRecord& record = event.record;
@@ -116,6 +128,7 @@
 
 void FleetState::Handle(const EvacuationChanged& event, TimePoint now,
                         uint64_t /*wall_ms*/) {
+  unconfirmed_evacuations_.erase(event.zone);
   std::set<std::string> zones = store_evacuated_zones_;
   if (event.is_evacuated) {
     zones.insert(event.zone);
@@ -130,7 +143,11 @@
 
 void FleetState::Handle(const MemberListed& event, TimePoint now,
                         uint64_t /*wall_ms*/) {
-  members_.Put(event.member, now);
+  if (is_reading_copy_) {
+    members_.PutFromCopy(event.member, now);
+  } else {
+    members_.Put(event.member, now);
+  }
   has_unpublished_changes_ = true;
   Log(Event::kMemberJoined,
       absl::StrCat("host=", event.member.name, " zone=", event.member.zone,
@@ -150,6 +167,13 @@
              absl::StrCat("key=", event.key, " reason=\"", event.reason, "\""));
 }
 
+void FleetState::Handle(const StoreRestored& /*event*/, TimePoint now,
+                        uint64_t /*wall_ms*/) {
+  is_reading_copy_ = true;
+  // Entries written since the copy are missing until they are written again.
+  targets_.RecordStoreOutage(now);
+}
+
 void FleetState::Handle(const SnapshotComplete& event, TimePoint now,
                         uint64_t wall_ms) {
   for (const std::string& id : targets_.TargetIds()) {
@@ -164,10 +188,24 @@
   }
   const std::set<std::string> before = store_evacuated_zones_;
   for (const std::string& zone : before) {
-    if (event.evacuated_zones.count(zone) == 0) {
+    if (event.evacuated_zones.count(zone) != 0) continue;
+    if (is_reading_copy_) {
+      unconfirmed_evacuations_[zone] = now + kEvacuationGracePeriod;
+    } else {
       Handle(EvacuationChanged{zone, false}, now, wall_ms);
     }
   }
+  is_reading_copy_ = false;
+}
+
+void FleetState::EndUnconfirmedEvacuations(TimePoint now) {
+  std::vector<std::string> zones;
+  for (const auto& [zone, end] : unconfirmed_evacuations_) {
+    if (end <= now) zones.push_back(zone);
+  }
+  for (const std::string& zone : zones) {
+    Handle(EvacuationChanged{zone, false}, now, 0);
+  }
 }
 
 void FleetState::Handle(const StoreReachabilityChanged& event,
--- a/modules/gg_fleet/fleet_state.h
+++ b/modules/gg_fleet/fleet_state.h
@@ -2,6 +2,7 @@
 #define GG_FLEET_FLEET_STATE_H_
 
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 
@@ -49,11 +50,13 @@
   void Handle(const MemberListed& event, TimePoint now, uint64_t wall_ms);
   void Handle(const MemberUnlisted& event, TimePoint now, uint64_t wall_ms);
   void Handle(const ValueRefused& event, TimePoint now, uint64_t wall_ms);
+  void Handle(const StoreRestored& event, TimePoint now, uint64_t wall_ms);
   void Handle(const SnapshotComplete& event, TimePoint now, uint64_t wall_ms);
   void Handle(const StoreReachabilityChanged& event, TimePoint now,
               uint64_t wall_ms);
   void Handle(const HeartbeatsReceived& event, TimePoint now, uint64_t wall_ms);
   void UpdateEvacuatedZones(TimePoint now);
+  void EndUnconfirmedEvacuations(TimePoint now);
   FleetView MakeView(TimePoint now);
   void Log(Event event, const std::string& text) const;
 
@@ -63,6 +66,9 @@
   FleetConfigPtr config_;
   std::set<std::string> store_evacuated_zones_;      // as listed in the store
   std::set<std::string> effective_evacuated_zones_;  // applied to targets_
+  /** When evacuations end that a copy of the store lacks, by zone. */
+  std::map<std::string, TimePoint> unconfirmed_evacuations_;
+  bool is_reading_copy_ = false;  // since StoreRestored
   bool store_reachable_ = false;
   bool has_unpublished_changes_ = false;
 
--- a/modules/gg_fleet/member_registry.cc
+++ b/modules/gg_fleet/member_registry.cc
@@ -10,12 +10,24 @@
   const bool is_new_incarnation = row.member.incarnation != member.incarnation;
   row.member = member;
   row.is_in_store = true;
+  row.must_be_heard = false;
   if (!is_new_incarnation) return;
   row.is_leaving = false;
   row.last_heartbeat_at.reset();
   row.registered_at = now;
 }
 
+void MemberRegistry::PutFromCopy(const Member& member, TimePoint now) {
+  const auto known = rows_.find(member.name);
+  if (known != rows_.end()) {
+    known->second.is_in_store = true;
+    return;
+  }
+  Put(member, now);
+  const auto added = rows_.find(member.name);
+  if (added != rows_.end()) added->second.must_be_heard = true;
+}
+
 void MemberRegistry::Remove(const std::string& name, TimePoint now) {
   const auto found = rows_.find(name);
   if (found == rows_.end() || !found->second.is_in_store) return;
@@ -67,7 +79,8 @@
 
 bool MemberRegistry::IsServing(const Row& row, TimePoint now) const {
   if (row.is_leaving) return false;
-  const bool was_never_heard = row.is_in_store && !row.last_heartbeat_at;
+  const bool was_never_heard =
+      row.is_in_store && !row.must_be_heard && !row.last_heartbeat_at;
   return was_never_heard || HasRecentHeartbeat(row, now);
 }
 
--- a/modules/gg_fleet/member_registry.h
+++ b/modules/gg_fleet/member_registry.h
@@ -48,6 +48,11 @@
   /** Adds or updates a daemon that is listed in the store. */
   void Put(const Member& member, TimePoint now);
 
+  /** Adds a daemon that a copy of the store lists. It may have left since, so
+      lookups return it only once it is heard. A daemon that is known already
+      is not changed. */
+  void PutFromCopy(const Member& member, TimePoint now);
+
   /** Records that the daemon `name` is no longer listed in the store. */
   void Remove(const std::string& name, TimePoint now);
 
@@ -104,6 +109,7 @@
     bool is_in_store = false;
     bool is_leaving = false;
     bool store_reachable = false;
+    bool must_be_heard = false;  // before lookups return it
     std::set<std::string> evacuated_zones;
     std::optional<TimePoint> last_heartbeat_at;
     TimePoint registered_at{};
--- a/modules/gg_fleet/target_record.h
+++ b/modules/gg_fleet/target_record.h
@@ -18,6 +18,7 @@
   bool is_draining = false;
   Duration remaining_cold_duration{};  // at the time of the write
   uint64_t incarnation_ms = 0;         // start time, Unix milliseconds
+  double sequence = 0;  // grows with each entry of the same incarnation
 };
 
 }  // namespace greengage
--- a/modules/gg_fleet/target_registry.cc
+++ b/modules/gg_fleet/target_registry.cc
@@ -56,6 +56,26 @@
     }
   }
   rows_[record.id] = std::move(row);
+  removed_.erase(record.id);
+}
+
+bool TargetRegistry::IsOutdated(const TargetRecord& record) const {
+  const auto known = rows_.find(record.id);
+  if (known != rows_.end()) {
+    const TargetRecord& newest = known->second.target.record;
+    return record.incarnation_ms < newest.incarnation_ms ||
+           (record.incarnation_ms == newest.incarnation_ms &&
+            record.sequence < newest.sequence);
+  }
+  const auto removed = removed_.find(record.id);
+  return removed != removed_.end() &&
+         (record.incarnation_ms < removed->second.incarnation_ms ||
+          (record.incarnation_ms == removed->second.incarnation_ms &&
+           record.sequence <= removed->second.sequence));
+}
+
+void TargetRegistry::RecordRemoval(const TargetRecord& record, TimePoint now) {
+  removed_[record.id] = {record.incarnation_ms, record.sequence, now};
 }
 
 void TargetRegistry::Remove(const std::string& id, TimePoint now) {
@@ -67,6 +87,7 @@
   if (may_have_expired_in_outage) {
     found->second.remove_at = *last_outage_ + options_.outage_grace_period;
   } else {
+    RecordRemoval(found->second.target.record, now);
     rows_.erase(found);
   }
 }
@@ -86,7 +107,13 @@
 
 bool TargetRegistry::Tick(TimePoint now) {
   const size_t erased = std::erase_if(rows_, [&](const auto& entry) {
-    return entry.second.remove_at && *entry.second.remove_at <= now;
+    const Row& row = entry.second;
+    const bool is_due = row.remove_at && *row.remove_at <= now;
+    if (is_due) RecordRemoval(row.target.record, now);
+    return is_due;
+  });
+  std::erase_if(removed_, [&](const auto& entry) {
+    return now - entry.second.removed_at >= options_.removed_retention;
   });
   return erased != 0;
 }
--- a/modules/gg_fleet/target_registry.h
+++ b/modules/gg_fleet/target_registry.h
@@ -32,6 +32,9 @@
         again about two seconds after the store is back. The operators' limit
         for draining a target is 2.5 s. */
     Duration outage_grace_period = std::chrono::milliseconds(2000);
+    /** How long a removed target is remembered. Longer than the age of a copy
+        from which the store may be restored. */
+    Duration removed_retention = std::chrono::seconds(60);
   };
 
   explicit TargetRegistry(Options options) : options_(std::move(options)) {}
@@ -54,6 +57,11 @@
   void SetEvacuatedZones(const std::set<std::string>& zones,
                          const FleetConfig* config, TimePoint now);
 
+  /** Returns whether an entry of a copy of the store is older than what is
+     known of the target: it was draining or had left since, or was started
+     again. */
+  bool IsOutdated(const TargetRecord& record) const;
+
   /** Removes entries whose grace period is over.
       @return true when the usable set changed. */
   bool Tick(TimePoint now);
@@ -71,11 +79,20 @@
     std::optional<TimePoint> remove_at;
   };
 
+  /** Last entry of a target that was removed. */
+  struct RemovedTarget {
+    uint64_t incarnation_ms = 0;
+    double sequence = 0;
+    TimePoint removed_at{};
+  };
+
+  void RecordRemoval(const TargetRecord& record, TimePoint now);
   Duration ColdDuration(const std::string& service,
                         const FleetConfig* config) const;
 
   Options options_;
   std::map<std::string, Row> rows_;
+  std::map<std::string, RemovedTarget> removed_;  // by target id
   std::set<std::string> evacuated_zones_;
   std::optional<TimePoint> last_outage_;
 };
--- a/modules/gg_request/target_rate_limiter.cc
+++ b/modules/gg_request/target_rate_limiter.cc
@@ -183,8 +183,8 @@
   double& credit = target.credit[index];
   credit =
       std::min(credit + AdmittedFraction(target, totals, urgency), kMaxCredit);
-  if (credit < 1 || totals.sends + 1 > WindowBound(target, totals, urgency))
-    return false;
+  const double bound = WindowBound(target, totals, urgency);
+  if (credit < 1 || totals.sends + 1 > bound) return false;
   credit -= 1;
   return true;
 }
--- a/tests/entry/fleet_test.cc
+++ b/tests/entry/fleet_test.cc
@@ -252,5 +252,108 @@
   LONGS_EQUAL(0, views.back()->targets.size());
 }
 
+/** What a copy of the store brings back. Copies are some seconds old. */
+TEST_GROUP_BASE(StoreCopy, TEST_GROUP_CppUTestGroupFleetState){
+    void setup() override{Apply(StoreReachabilityChanged{true, ""}, 0);
+}  // namespace
+
+TargetRecord Entry(const std::string& id, double sequence,
+                   bool is_draining = false) {
+  TargetRecord record = MakeTarget(id, "north-a");
+  record.sequence = sequence;
+  record.is_draining = is_draining;
+  return record;
+}  // namespace
+size_t UsableCount() {
+  state.Tick(At(20));
+  return views.back()->targets.size();
+}
+};  // namespace greengage
+
+TEST(StoreCopy, DrainingTarget_IsNotReadyAgain) {
+  Apply(TargetListed{Entry("a", 5)}, 0);
+  Apply(TargetListed{Entry("a", 9, true)}, 1);
+  Apply(StoreRestored{}, 10);
+  Apply(TargetListed{Entry("a", 5)}, 10);
+  LONGS_EQUAL(0, UsableCount());
+}
+
+TEST(StoreCopy, TargetThatLeft_DoesNotReturn) {
+  Apply(TargetListed{Entry("a", 5)}, 0);
+  Apply(TargetUnlisted{"a"}, 1);
+  Apply(StoreRestored{}, 10);
+  Apply(TargetListed{Entry("a", 5)}, 10);
+  LONGS_EQUAL(0, UsableCount());
+}
+
+TEST(StoreCopy, EntryWrittenSinceTheCopy_IsApplied) {
+  Apply(TargetListed{Entry("a", 5)}, 0);
+  Apply(TargetUnlisted{"a"}, 1);
+  Apply(StoreRestored{}, 10);
+  Apply(TargetListed{Entry("a", 7)}, 10);
+  Apply(TargetListed{Entry("b", 1)}, 10);
+  LONGS_EQUAL(2, UsableCount());
+}
+
+TEST(StoreCopy, EntryWrittenAfterTheCopyWasRead_IsApplied) {
+  Apply(TargetListed{Entry("a", 5)}, 0);
+  Apply(TargetUnlisted{"a"}, 1);
+  Apply(StoreRestored{}, 10);
+  Apply(SnapshotComplete{}, 10);
+  Apply(TargetListed{Entry("a", 5)}, 11);
+  LONGS_EQUAL(1, UsableCount());
+}
+
+TEST(StoreCopy, TargetMissingInIt_StaysUsableUntilItIsWrittenAgain) {
+  Apply(TargetListed{Entry("a", 5)}, 0);
+  Apply(StoreRestored{}, 19.5);
+  Apply(SnapshotComplete{}, 19.6);
+  LONGS_EQUAL(1, UsableCount());
+  state.Tick(At(22));
+  LONGS_EQUAL(0, views.back()->targets.size());
+}
+
+TEST(StoreCopy, EvacuationMissingInIt_HoldsUntilItIsWrittenAgain) {
+  Apply(TargetListed{Entry("a", 5)}, 0);
+  Apply(EvacuationChanged{"north-a", true}, 1);
+  Apply(StoreRestored{}, 19.5);
+  Apply(TargetListed{Entry("a", 5)}, 19.5);
+  Apply(SnapshotComplete{.target_ids = {"a"}}, 19.6);
+  LONGS_EQUAL(0, UsableCount());
+  Apply(EvacuationChanged{"north-a", true}, 20.5);
+  state.Tick(At(30));
+  LONGS_EQUAL(0, views.back()->targets.size());
+}
+
+TEST(StoreCopy, EvacuationThatIsNotWrittenAgain_EndsAfterTheGracePeriod) {
+  Apply(TargetListed{Entry("a", 5)}, 0);
+  Apply(EvacuationChanged{"north-a", true}, 1);
+  Apply(StoreRestored{}, 10);
+  Apply(SnapshotComplete{.target_ids = {"a"}}, 10);
+  state.Tick(At(14));
+  LONGS_EQUAL(1, views.back()->targets.size());
+}
+
+TEST(StoreCopy, DaemonThatLeft_IsNotNamedToCallersUntilItIsHeard) {
+  Apply(StoreRestored{}, 10);
+  Apply(MemberListed{MakeMember("gone")}, 10);
+  state.Tick(At(10.1));
+  LONGS_EQUAL(0, views.back()->serving_members.size());
+  Apply(HeartbeatsReceived{{{.name = "gone", .incarnation = 7}}}, 10.2);
+  state.Tick(At(10.3));
+  LONGS_EQUAL(1, views.back()->serving_members.size());
+}
+
+TEST(StoreCopy, EarlierIncarnationOfADaemon_DoesNotReplaceTheRunningOne) {
+  Member running = MakeMember("peer");
+  running.incarnation = 8;
+  Apply(MemberListed{running}, 0);
+  Apply(StoreRestored{}, 10);
+  Apply(MemberListed{MakeMember("peer")}, 10);
+  Apply(HeartbeatsReceived{{{.name = "peer", .incarnation = 8}}}, 10.2);
+  state.Tick(At(10.3));
+  LONGS_EQUAL(8, views.back()->serving_members.at(0).incarnation);
+}
+
 }  // namespace
 }  // namespace greengage
