Soak: rate limits of targets, and a store that is restored from copies

Copies are taken and restored at random beside the other faults, and the operators write their newest configuration again; recovery is checked as before. After the faults all targets name a limit, and none may get more than the operators allow.

--- a/tests/soak/entry_soak.cc
+++ b/tests/soak/entry_soak.cc
@@ -49,6 +49,14 @@
 /** Callers that leave at the same time. */
 constexpr int kDepartingCallers = 10;
 
+/** Requests per second that each target takes in the check of rate limits. */
+constexpr double kRateLimit = 3;
+
+/** The operators count the requests to a limited target over this time, once it
+    has named its limit for the settle time. */
+constexpr Duration kRateLimitWindow = std::chrono::seconds(4);
+constexpr Duration kRateLimitSettleTime = std::chrono::seconds(3);
+
 /** Time limit of every route. */
 constexpr int kTimeLimitMs = 600;
 
@@ -95,6 +103,7 @@
   /** Runs the test and returns the number of violations. */
   int Run() {
     SetUp();
+    platform_.CopyStore();
     std::vector<std::thread> callers;
     for (int i = 0; i < kCallerCount; ++i) {
       callers.emplace_back([this, i] { RunCaller(i); });
@@ -107,6 +116,7 @@
     EndFaults();
     std::this_thread::sleep_for(kRecoveryTime);
     CheckRecovery();
+    CheckRateLimits();
     CheckCallerDeparture();
     CheckTargetDeparture();
     CheckPlannedStops();
@@ -197,7 +207,7 @@
     Host& host = hosts_[random_.NextBelow(kHostCount)];
     FaultProxy& target = *target_proxies_[random_.NextBelow(kTargetCount)];
     const auto mode = static_cast<ProxyMode>(random_.NextBelow(5));
-    switch (random_.NextBelow(13)) {
+    switch (random_.NextBelow(15)) {
       case 0:
         Signal(&host, SIGSTOP);
         Sleep(static_cast<int>(random_.NextBelow(1500)));
@@ -244,6 +254,12 @@
              .wrong_request_id = random_.NextDouble() * 0.1,
              .work_ms = static_cast<int>(random_.NextBelow(80))});
         break;
+      case 12:
+        platform_.CopyStore();
+        break;
+      case 13:
+        RestoreStore();
+        break;
       default:
         for (const auto& proxy : target_proxies_) {
           proxy->SetMode(ProxyMode::kPass);
@@ -254,6 +270,16 @@
     RestartExited();
   }
 
+  /** Restores the store from the last copy after a short outage. The operators
+      write their newest configuration again. */
+  void RestoreStore() {
+    platform_.SetStoreDown(true);
+    Sleep(static_cast<int>(random_.NextBelow(400)));
+    platform_.RestoreStore();
+    platform_.SetStoreDown(is_store_down_);
+    PutConfig();
+  }
+
   void Signal(Host* host, int signal) {
     scenario::ReapProcess(&host->process);
     if (!host->process.exit_code) kill(host->process.pid, signal);
@@ -422,6 +448,22 @@
     }
   }
 
+  /** Lets all targets name a rate limit. Checks that none gets more from the
+      daemons together than the operators allow. */
+  void CheckRateLimits() {
+    platform_.SetFaults({.rate_limit = kRateLimit});
+    std::this_thread::sleep_for(kRateLimitSettleTime + 2 * kRateLimitWindow);
+    const int received =
+        platform_.MaxLimitedArrivals(kRateLimitWindow, kRateLimitSettleTime);
+    platform_.SetFaults({});
+    const double allowed = 1.5 * kRateLimit * ToSeconds(kRateLimitWindow) + 5;
+    if (received > allowed) {
+      ReportViolation(absl::StrCat("a target that takes ", kRateLimit,
+                                   " requests a second got ", received,
+                                   " within the window"));
+    }
+  }
+
   /** Writes a request to a host without waiting for the response.
       @return the open connection. */
   std::unique_ptr<Connection> BeginRequest(const Host& host, bool is_order,
