Name a daemon to callers that restarted while the store was away

Callers would not have been sent to a host that restarted while the store was away: the first read after a restore kept the incarnation that was known, so the heartbeats of the running one were ignored until its entry changed again.

An incarnation that only the copy lists is now kept beside the known one, and replaces it when it is heard. Which of them is newer can't be read off their start times, as clocks are stepped.

--- a/modules/gg_fleet/member_registry.cc
+++ b/modules/gg_fleet/member_registry.cc
@@ -11,6 +11,7 @@
   row.member = member;
   row.is_in_store = true;
   row.must_be_heard = false;
+  row.unheard_incarnation.reset();
   if (!is_new_incarnation) return;
   row.is_leaving = false;
   row.last_heartbeat_at.reset();
@@ -18,20 +19,25 @@
 }
 
 void MemberRegistry::PutFromCopy(const Member& member, TimePoint now) {
+  if (member.name == options_.self.name) return;
   const auto known = rows_.find(member.name);
-  if (known != rows_.end()) {
-    known->second.is_in_store = true;
+  if (known == rows_.end()) {
+    Put(member, now);
+    rows_[member.name].must_be_heard = true;
     return;
   }
-  Put(member, now);
-  const auto added = rows_.find(member.name);
-  if (added != rows_.end()) added->second.must_be_heard = true;
+  Row& row = known->second;
+  row.is_in_store = true;
+  if (row.member.incarnation != member.incarnation) {
+    row.unheard_incarnation = member;
+  }
 }
 
 void MemberRegistry::Remove(const std::string& name, TimePoint now) {
   const auto found = rows_.find(name);
   if (found == rows_.end() || !found->second.is_in_store) return;
   found->second.is_in_store = false;
+  found->second.unheard_incarnation.reset();
   found->second.removed_at = now;
 }
 
@@ -40,6 +46,10 @@
   const auto found = rows_.find(heartbeat.name);
   if (found == rows_.end()) return;
   Row& row = found->second;
+  if (row.unheard_incarnation &&
+      row.unheard_incarnation->incarnation == heartbeat.incarnation) {
+    Put(Member(*row.unheard_incarnation), now);
+  }
   if (row.member.incarnation != heartbeat.incarnation) return;
   row.last_heartbeat_at = now;
   row.is_leaving = heartbeat.is_leaving;
--- a/modules/gg_fleet/member_registry.h
+++ b/modules/gg_fleet/member_registry.h
@@ -49,8 +49,9 @@
   void Put(const Member& member, TimePoint now);
 
   /** Adds a daemon that a copy of the store lists. It may have left since, so
-      lookups return it only once it is heard. A daemon that is known already
-      is not changed. */
+      lookups return it only once it is heard. The same holds for another
+      incarnation of a known daemon: it may be older or newer than the known
+      one, which stays until the other one is heard. */
   void PutFromCopy(const Member& member, TimePoint now);
 
   /** Records that the daemon `name` is no longer listed in the store. */
@@ -110,6 +111,8 @@
     bool is_leaving = false;
     bool store_reachable = false;
     bool must_be_heard = false;  // before lookups return it
+    /** Another incarnation that a copy of the store lists. */
+    std::optional<Member> unheard_incarnation;
     std::set<std::string> evacuated_zones;
     std::optional<TimePoint> last_heartbeat_at;
     TimePoint registered_at{};
--- a/tests/entry/fleet_test.cc
+++ b/tests/entry/fleet_test.cc
@@ -253,22 +253,23 @@
 }
 
 /** What a copy of the store brings back. Copies are some seconds old. */
-TEST_GROUP_BASE(StoreCopy, TEST_GROUP_CppUTestGroupFleetState){
-    void setup() override{Apply(StoreReachabilityChanged{true, ""}, 0);
-}  // namespace
+struct StoreCopyFixture : TEST_GROUP_CppUTestGroupFleetState {
+  void setup() override { Apply(StoreReachabilityChanged{true, ""}, 0); }
+
+  TargetRecord Entry(const std::string& id, double sequence,
+                     bool is_draining = false) {
+    TargetRecord record = MakeTarget(id, "north-a");
+    record.sequence = sequence;
+    record.is_draining = is_draining;
+    return record;
+  }
+  size_t UsableCount() {
+    state.Tick(At(20));
+    return views.back()->targets.size();
+  }
+};
 
-TargetRecord Entry(const std::string& id, double sequence,
-                   bool is_draining = false) {
-  TargetRecord record = MakeTarget(id, "north-a");
-  record.sequence = sequence;
-  record.is_draining = is_draining;
-  return record;
-}  // namespace
-size_t UsableCount() {
-  state.Tick(At(20));
-  return views.back()->targets.size();
-}
-};  // namespace greengage
+TEST_GROUP_BASE(StoreCopy, StoreCopyFixture){};
 
 TEST(StoreCopy, DrainingTarget_IsNotReadyAgain) {
   Apply(TargetListed{Entry("a", 5)}, 0);
@@ -355,5 +356,35 @@
   LONGS_EQUAL(8, views.back()->serving_members.at(0).incarnation);
 }
 
+TEST(StoreCopy, DaemonRestartedInTheOutage_IsNamedToCallersOnceItIsHeard) {
+  Apply(MemberListed{MakeMember("peer")}, 0);
+  Apply(HeartbeatsReceived{{{.name = "peer", .incarnation = 7}}}, 5);
+  Member restarted = MakeMember("peer");
+  restarted.incarnation = 8;
+  Apply(StoreRestored{}, 10);
+  Apply(MemberListed{restarted}, 10);
+  Apply(SnapshotComplete{.member_names = {"peer"}}, 10.1);
+  state.Tick(At(10.1));
+  LONGS_EQUAL(0, views.back()->serving_members.size());
+  Apply(HeartbeatsReceived{{{.name = "peer", .incarnation = 8}}}, 10.2);
+  state.Tick(At(10.3));
+  LONGS_EQUAL(1, views.back()->serving_members.size());
+  LONGS_EQUAL(8, views.back()->serving_members[0].incarnation);
+}
+
+TEST(StoreCopy, RestartedDaemonWhoseEntryGoes_IsNotNamedToCallers) {
+  Member restarted = MakeMember("peer");
+  restarted.incarnation = 8;
+  Apply(MemberListed{MakeMember("peer")}, 0);
+  Apply(HeartbeatsReceived{{{.name = "peer", .incarnation = 7}}}, 5);
+  Apply(StoreRestored{}, 10);
+  Apply(MemberListed{restarted}, 10);
+  Apply(SnapshotComplete{.member_names = {"peer"}}, 10.1);
+  Apply(MemberUnlisted{"peer"}, 10.2);
+  Apply(HeartbeatsReceived{{{.name = "peer", .incarnation = 8}}}, 10.3);
+  state.Tick(At(10.4));
+  LONGS_EQUAL(0, views.back()->serving_members.size());
+}
+
 }  // namespace
 }  // namespace greengage
--- a/tests/entry/store_restore_test.cc
+++ b/tests/entry/store_restore_test.cc
@@ -4,17 +4,20 @@
 namespace {
 
 /** The store comes back from a copy that is older than what it acknowledged. */
-TEST_GROUP_BASE(StoreRestore, EntryPathFixture){
-    void RestoreAfterOutage(){world->SetStoreDown(true);
-std::this_thread::sleep_for(std::chrono::milliseconds(500));
-world->RestoreStore();
-world->SetStoreDown(false);
-}  // namespace
-bool IsServed(const std::string& path) {
-  return WaitFor(
-      [&] { return SendGet(kTrafficAddress, path).result_int() == 200; });
-}
-};  // namespace greengage
+struct StoreRestoreFixture : EntryPathFixture {
+  void RestoreAfterOutage() {
+    world->SetStoreDown(true);
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    world->RestoreStore();
+    world->SetStoreDown(false);
+  }
+  bool IsServed(const std::string& path) {
+    return WaitFor(
+        [&] { return SendGet(kTrafficAddress, path).result_int() == 200; });
+  }
+};
+
+TEST_GROUP_BASE(StoreRestore, StoreRestoreFixture){};
 
 // Replays Gantnet's day "restored", seed 11: a version was written at a
 // revision that the daemon knew of the older era, and was never in force.
