Sum up the reports of rate-limited targets as they arrive

Small hosts spent their processor share on it, and the work would have grown with the square of the deployment.

The sums by target now change when a report arrives, becomes outdated or expires.

PeersReports_CountUntilReplacedOrExpired checks the sums; entry_tests pass.

--- a/modules/gg_request/target_rate_limiter.cc
+++ b/modules/gg_request/target_rate_limiter.cc
@@ -57,16 +57,61 @@
     target.limit = report.limit;
     target.limit_known_at = known_at;
   }
-  peers_[host] = {std::move(reports), now};
+  PeerReports& peer = peers_[host];
+  AddToSums(peer, -1);
+  peer = {.targets = std::move(reports), .received_at = now, .is_fresh = true};
+  AddToSums(peer, 1);
+  hearing_ = {};
+}
+
+void TargetRateLimiter::Load::Add(const RateLimitReport& report, int sign) {
+  demand[kUrgent] += sign * report.urgent_demand;
+  demand[kOther] += sign * report.other_demand;
+  demand[kPassedOn] += sign * report.passed_on_demand;
+  sends += sign * report.recent_sends;
+}
+
+void TargetRateLimiter::AddToSums(const PeerReports& peer, int sign) {
+  for (const auto& [id, report] : peer.targets) {
+    const auto found = targets_.find(id);
+    if (found == targets_.end()) continue;
+    Target& target = found->second;
+    (peer.is_fresh ? target.fresh_reports : target.outdated_reports)
+        .Add(report, sign);
+  }
+}
+
+const TargetRateLimiter::Hearing& TargetRateLimiter::UpdateHearing(
+    TimePoint now) {
+  if (hearing_.at == now) return hearing_;
+  hearing_ = {.at = now};
+  for (auto peer = peers_.begin(); peer != peers_.end();) {
+    PeerReports& reports = peer->second;
+    const Duration age = now - reports.received_at;
+    if (reports.is_fresh && age >= options_.report_freshness) {
+      AddToSums(reports, -1);
+      reports.is_fresh = false;
+      AddToSums(reports, 1);
+    }
+    if (age >= options_.report_lifetime) {
+      AddToSums(reports, -1);
+      peer = peers_.erase(peer);
+      continue;
+    }
+    if (reports.is_fresh) {
+      ++hearing_.fresh_peers;
+      hearing_.age_sum += ToSeconds(age);
+    }
+    ++peer;
+  }
+  return hearing_;
 }
 
 void TargetRateLimiter::Tick(TimePoint now) {
+  UpdateHearing(now);
   std::erase_if(targets_, [&](const auto& entry) {
     return now - entry.second.used_at >= options_.target_lifetime;
   });
-  std::erase_if(peers_, [&](const auto& entry) {
-    return now - entry.second.received_at >= options_.report_lifetime;
-  });
 }
 
 double TargetRateLimiter::Demand(const DecayingRate& rate,
@@ -84,45 +129,29 @@
   }
 }
 
-void TargetRateLimiter::FleetTotals::Add(const RateLimitReport& report) {
-  demand[kUrgent] += report.urgent_demand;
-  demand[kOther] += report.other_demand;
-  demand[kPassedOn] += report.passed_on_demand;
-  sends += report.recent_sends;
-}
-
-TargetRateLimiter::FleetTotals TargetRateLimiter::Totals(uint64_t id,
-                                                         Target* target,
+TargetRateLimiter::FleetTotals TargetRateLimiter::Totals(Target* target,
                                                          TimePoint now) {
+  const Hearing& hearing = UpdateHearing(now);
   RemoveExpiredSends(target, now);
-  FleetTotals totals;
+  FleetTotals totals{.load = target->fresh_reports};
   for (size_t urgency = 0; urgency < kOfferUrgencyCount; ++urgency) {
-    totals.demand[urgency] = Demand(target->demand[urgency], now);
+    totals.load.demand[urgency] += Demand(target->demand[urgency], now);
   }
-  totals.sends = static_cast<double>(target->sends.size());
-  int heard = 1;  // with this daemon
-  FleetTotals outdated;
+  totals.load.sends += static_cast<double>(target->sends.size());
   const double window = ToSeconds(options_.window);
-  double age_sum = 0;
-  for (const auto& [host, peer] : peers_) {
-    const Duration age = now - peer.received_at;
-    if (age >= options_.report_lifetime) continue;
-    const bool is_fresh = age < options_.report_freshness;
-    heard += is_fresh ? 1 : 0;
-    if (is_fresh) age_sum += ToSeconds(age);
-    const auto found = peer.targets.find(id);
-    if (found == peer.targets.end()) continue;
-    (is_fresh ? totals : outdated).Add(found->second);
-  }
+  const int heard = hearing.fresh_peers + 1;  // with this daemon
   const int unheard = std::max(sender_count_ - heard, 0);
   const double unheard_ratio = static_cast<double>(unheard) / heard;
   totals.staleness =
-      (age_sum + unheard * window) / ((heard + unheard) * window);
+      (hearing.age_sum + unheard * window) / ((heard + unheard) * window);
+  const auto add_unheard = [&](double* sum, double outdated) {
+    *sum += std::max(*sum * unheard_ratio, outdated);
+  };
+  const Load& outdated = target->outdated_reports;
   for (size_t urgency = 0; urgency < kOfferUrgencyCount; ++urgency) {
-    totals.demand[urgency] += std::max(totals.demand[urgency] * unheard_ratio,
-                                       outdated.demand[urgency]);
+    add_unheard(&totals.load.demand[urgency], outdated.demand[urgency]);
   }
-  totals.sends += std::max(totals.sends * unheard_ratio, outdated.sends);
+  add_unheard(&totals.load.sends, outdated.sends);
   return totals;
 }
 
@@ -147,8 +176,8 @@
                                            const FleetTotals& totals,
                                            OfferUrgency urgency) const {
   const double limit = EnforcedLimit(target, totals) * options_.pace;
-  const double urgent = totals.demand[kUrgent];
-  const double other = totals.demand[kOther];
+  const double urgent = totals.load.demand[kUrgent];
+  const double other = totals.load.demand[kOther];
   const double for_other = std::min(
       other, std::max(limit - urgent, limit * options_.other_fraction));
   const double for_urgent = std::min(urgent, limit - for_other);
@@ -167,7 +196,7 @@
       limit * ToSeconds(options_.window) * options_.burst_tolerance +
       options_.burst_allowance;
   return std::min(
-      fraction(limit - for_urgent - for_other, totals.demand[kPassedOn]),
+      fraction(limit - for_urgent - for_other, totals.load.demand[kPassedOn]),
       burst / sender_count_);
 }
 
@@ -179,12 +208,12 @@
   rate.count = Demand(rate, now) * ToSeconds(options_.demand_time_constant) + 1;
   rate.updated_at = now;
   if (!target.limit) return true;
-  const FleetTotals totals = Totals(id, &target, now);
+  const FleetTotals totals = Totals(&target, now);
   double& credit = target.credit[index];
   credit =
       std::min(credit + AdmittedFraction(target, totals, urgency), kMaxCredit);
   const double bound = WindowBound(target, totals, urgency);
-  if (credit < 1 || totals.sends + 1 > bound) return false;
+  if (credit < 1 || totals.load.sends + 1 > bound) return false;
   credit -= 1;
   return true;
 }
@@ -200,14 +229,14 @@
                                                TimePoint now) {
   Target& target = FindOrAdd(id, now);
   if (!target.limit) return Duration::zero();
-  const FleetTotals totals = Totals(id, &target, now);
+  const FleetTotals totals = Totals(&target, now);
   const size_t index = static_cast<size_t>(urgency);
   const double rate = Demand(target.demand[index], now) *
                       AdmittedFraction(target, totals, urgency);
   const double missing_credit = std::max(1 - target.credit[index], 0.0);
   // In a full window, room appears at about the rate of the limit.
-  const double excess_sends =
-      std::max(totals.sends + 1 - WindowBound(target, totals, urgency), 0.0);
+  const double excess_sends = std::max(
+      totals.load.sends + 1 - WindowBound(target, totals, urgency), 0.0);
   const double seconds =
       std::max(missing_credit / std::max(rate, kMinReportedDemand),
                excess_sends / EnforcedLimit(target, totals));
@@ -245,13 +274,13 @@
 double TargetRateLimiter::Utilization(uint64_t id, TimePoint now) {
   const auto found = targets_.find(id);
   if (found == targets_.end() || !found->second.limit) return 0;
-  const FleetTotals totals = Totals(id, &found->second, now);
-  return totals.sends /
+  const FleetTotals totals = Totals(&found->second, now);
+  return totals.load.sends /
          WindowBound(found->second, totals, OfferUrgency::kUrgent);
 }
 
 double TargetRateLimiter::FleetSends(uint64_t id, TimePoint now) {
-  return Totals(id, &FindOrAdd(id, now), now).sends;
+  return Totals(&FindOrAdd(id, now), now).load.sends;
 }
 
 }  // namespace greengage
--- a/modules/gg_request/target_rate_limiter.h
+++ b/modules/gg_request/target_rate_limiter.h
@@ -144,6 +144,14 @@
     double count = 0;
     TimePoint updated_at{};
   };
+  /** What several daemons send to a target. */
+  struct Load {
+    std::array<double, kOfferUrgencyCount> demand{};  // by OfferUrgency
+    double sends = 0;
+
+    /** Adds a report `sign` times, 1 or -1. */
+    void Add(const RateLimitReport& report, int sign);
+  };
   struct Target {
     std::optional<double> limit;
     std::optional<TimePoint> limit_known_at;  // when its response was received
@@ -152,25 +160,36 @@
     std::array<double, kOfferUrgencyCount> credit{};
     std::deque<TimePoint> sends;  // in the window
     TimePoint used_at{};
+    Load fresh_reports;     // sum of the other daemons' fresh reports
+    Load outdated_reports;  // sum of those that are outdated
   };
   struct PeerReports {
     std::map<uint64_t, RateLimitReport> targets;
     TimePoint received_at{};
+    bool is_fresh = false;
+  };
+  /** How well the other daemons are heard at a moment. */
+  struct Hearing {
+    TimePoint at{};
+    int fresh_peers = 0;
+    double age_sum = 0;  // of the fresh reports, seconds
   };
   /** Sums over all daemons. */
   struct FleetTotals {
-    std::array<double, kOfferUrgencyCount> demand{};  // by OfferUrgency
-    double sends = 0;
+    Load load;
     /** Mean age of the reports, from 0 to 1 for the length of the window. */
     double staleness = 0;
-
-    void Add(const RateLimitReport& report);
   };
 
   Target& FindOrAdd(uint64_t target, TimePoint now);
   double Demand(const DecayingRate& rate, TimePoint now) const;
   void RemoveExpiredSends(Target* target, TimePoint now) const;
-  FleetTotals Totals(uint64_t id, Target* target, TimePoint now);
+  /** Adds the reports of a daemon `sign` times to the sums by target. */
+  void AddToSums(const PeerReports& peer, int sign);
+  /** Moves outdated reports to the sums of outdated ones and forgets those
+      whose lifetime is over. Does so once for each value of `now`. */
+  const Hearing& UpdateHearing(TimePoint now);
+  FleetTotals Totals(Target* target, TimePoint now);
   /** Returns the fraction of the demand that the limit admits. */
   double AdmittedFraction(const Target& target, const FleetTotals& totals,
                           OfferUrgency urgency) const;
@@ -186,6 +205,7 @@
   int sender_count_ = 1;
   std::map<uint64_t, Target> targets_;
   std::map<std::string, PeerReports> peers_;  // by host name
+  Hearing hearing_;
 };
 
 }  // namespace greengage
--- a/tests/entry/target_rate_limiter_test.cc
+++ b/tests/entry/target_rate_limiter_test.cc
@@ -274,6 +274,24 @@
   CHECK_FALSE(limiter.Limit(kTarget).has_value());
 }
 
+TEST(TargetRateLimiter, PeersReports_CountUntilReplacedOrExpired) {
+  const auto report_sends = [&](int sends, double at) {
+    limiter.RecordPeerReports(
+        "peer", {{kTarget, {.limit = 2, .recent_sends = sends}}}, At(at));
+  };
+  report_sends(8, 10);
+  DOUBLES_EQUAL(8, limiter.FleetSends(kTarget, At(10)), 1e-9);
+  report_sends(3, 11);
+  DOUBLES_EQUAL(3, limiter.FleetSends(kTarget, At(11)), 1e-9);
+  DOUBLES_EQUAL(3, limiter.FleetSends(kTarget, At(14)), 1e-9);  // outdated
+  report_sends(5, 15);
+  DOUBLES_EQUAL(5, limiter.FleetSends(kTarget, At(15)), 1e-9);
+  DOUBLES_EQUAL(0, limiter.FleetSends(kTarget, At(25.1)), 1e-9);  // expired
+  report_sends(4, 26);
+  limiter.RecordPeerReports("peer", {}, At(27));
+  DOUBLES_EQUAL(0, limiter.FleetSends(kTarget, At(27)), 1e-9);
+}
+
 TEST(TargetRateLimiter, RefusedCaller_IsToldATimeThatFitsTheLimit) {
   limiter.RecordResponse(kTarget, 2, At(0));
   CountAdmitted(500, 0, 0.02);
