--- a/modules/gg_entry/change_history.h
+++ b/modules/gg_entry/change_history.h
@@ -32,7 +32,7 @@
   void Add(const KeyValueReadResult& changes);
 
   /** Returns all changes after `position`, or nothing when it is of another
-     era, some of them were dropped, or the store was not read yet. */
+      era, some of them were dropped, or the store was not read yet. */
   std::optional<KeyValueReadResult> ChangesAfter(StorePosition position) const;
 
  private:
--- a/modules/gg_entry/change_relay.h
+++ b/modules/gg_entry/change_relay.h
@@ -17,8 +17,8 @@
     A subscriber connects, sends the newest position that it knows, and is sent
     all later changes as they occur. A subscriber that asks for changes which
     are no longer kept, or of another era of the store, is disconnected. All
-   subscribers are disconnected when the history is reset. A disconnected
-   subscriber reads from the store. Traffic thread only. */
+    subscribers are disconnected when the history is reset. A disconnected
+    subscriber reads from the store. Traffic thread only. */
 class ChangeRelay {
  public:
   struct Options {
--- a/modules/gg_fleet/fleet_event.h
+++ b/modules/gg_fleet/fleet_event.h
@@ -52,7 +52,7 @@
 };
 
 /** The store was restored from an older copy. The entries that follow, up to
-   the next SnapshotComplete, may be older than what is known of them. */
+    the next SnapshotComplete, may be older than what is known of them. */
 struct StoreRestored {};
 
 /** All entries of the store have been reported. Entries that are not listed
--- a/modules/gg_fleet/target_registry.h
+++ b/modules/gg_fleet/target_registry.h
@@ -58,8 +58,8 @@
                          const FleetConfig* config, TimePoint now);
 
   /** Returns whether an entry of a copy of the store is older than what is
-     known of the target: it was draining or had left since, or was started
-     again. */
+      known of the target: it was draining or had left since, or was started
+      again. */
   bool IsOutdated(const TargetRecord& record) const;
 
   /** Removes entries whose grace period is over.
--- a/modules/gg_request/target_rate_limiter.cc
+++ b/modules/gg_request/target_rate_limiter.cc
@@ -10,8 +10,7 @@
 constexpr size_t kOther = static_cast<size_t>(OfferUrgency::kOther);
 constexpr size_t kPassedOn = static_cast<size_t>(OfferUrgency::kPassedOn);
 
-/** Credit that offers can add up to while the window's bound holds them back.
- */
+/** Limit of the credit that offers gain while the window is full. */
 constexpr double kMaxCredit = 1.5;
 
 /** Longest time until the next admission that is expected. */
