--- a/modules/gg_entry/heartbeat_exchange.h
+++ b/modules/gg_entry/heartbeat_exchange.h
@@ -111,9 +111,8 @@
   std::vector<asio::ip::udp::endpoint> far_peers_;
   /** Newest heartbeat since the last tick, by host name. */
   std::map<std::string, PeerHeartbeat> pending_heartbeats_;
-  std::map<std::string, PeerWork> peer_work_;  // by host name
-  /** Holds a datagram that lists 1,500 targets. A longer one is refused. */
-  std::array<char, 64 * 1024> receive_buffer_{};  // the largest datagram
+  std::map<std::string, PeerWork> peer_work_;     // by host name
+  std::array<char, 64 * 1024> receive_buffer_{};  // holds any datagram
   asio::ip::udp::endpoint sender_;
   bool is_leaving_ = false;
   bool is_store_reachable_ = false;
