--- a/tests/entry/request_test.cc
+++ b/tests/entry/request_test.cc
@@ -697,8 +697,8 @@
   CHECK_TRUE(first_choices <= 20);
 }
 
-// Replays grown Gantnet's day "capped", seed 11: requests passed on took a fifth
-// of the response time of targets without a limit, and delayed their own.
+// Replays grown Gantnet's day "capped", seed 11: requests passed on took a
+// fifth of the response time of targets without a limit, and delayed their own.
 TEST(RateLimitedTarget, ItsObjects_AreRefusedWhileTheOtherTargetsAreBusy) {
   UseView(MakeView({{"north", 4}}));
   LimitFirstChoiceOf("tool", 10);
