Answer requests that arrive while a planned stop closes connections

Cause: closing the acceptor reset the connections in the kernel's queue; an idle session was closed although its pending read had taken a request from the socket, with its handler still to run; the process ended while requests lay unread. In greengaged the first and the last. Found by a test after a report of other operators.

Change: what waits in the queue is accepted before the acceptor closes; an idle session ends its pending read first, and closes only if that brought nothing; the process ends once no connection is open.

--- a/modules/gg_daemon/daemon.cc
+++ b/modules/gg_daemon/daemon.cc
@@ -244,7 +244,7 @@
 
   void WaitForActiveRequests() {
     TimePoint next_log = Now();
-    while (traffic->active_requests() > 0) {
+    while (!traffic->is_drained()) {
       if (Now() >= next_log) {
         LogEvent(LogLevel::kInfo, Event::kDraining,
                  absl::StrCat("requests=", traffic->active_requests()));
--- a/modules/gg_entry/entry_daemon.cc
+++ b/modules/gg_entry/entry_daemon.cc
@@ -332,7 +332,7 @@
       LogEvent(LogLevel::kInfo, Event::kDraining,
                absl::StrCat("active=", traffic_listener.ActiveRequests()));
     }
-    const bool is_drained = traffic_listener.ActiveRequests() == 0;
+    const bool is_drained = traffic_listener.OpenConnections() == 0;
     if (is_drained ||
         elapsed >= settings.bounds.stop_grace_period - kStopMargin) {
       io.stop();
--- a/modules/gg_entry/http_listener.cc
+++ b/modules/gg_entry/http_listener.cc
@@ -57,24 +57,28 @@
       });
       return;
     }
-    if (sessions_.size() >= options_.max_sessions) {
-      LogEvent(LogLevel::kWarning, Event::kInternalError,
-               absl::StrCat("connection refused at ", options_.address,
-                            ": sessions=", sessions_.size()));
-    } else {
-      auto session = std::make_shared<HttpSession>(
-          std::move(socket),
-          HttpSession::Options{
-              .handler = options_.handler,
-              .limits = options_.limits,
-              .on_closed = [this](HttpSession* s) { sessions_.erase(s); }});
-      sessions_[session.get()] = session;
-      session->Start();
-    }
+    AddSession(std::move(socket));
     Accept();
   });
 }
 
+void HttpListener::AddSession(asio::ip::tcp::socket socket) {
+  if (sessions_.size() >= options_.max_sessions) {
+    LogEvent(LogLevel::kWarning, Event::kInternalError,
+             absl::StrCat("connection refused at ", options_.address,
+                          ": sessions=", sessions_.size()));
+    return;
+  }
+  auto session = std::make_shared<HttpSession>(
+      std::move(socket),
+      HttpSession::Options{
+          .handler = options_.handler,
+          .limits = options_.limits,
+          .on_closed = [this](HttpSession* s) { sessions_.erase(s); }});
+  sessions_[session.get()] = session;
+  session->Start();
+}
+
 void HttpListener::CheckTimeouts(TimePoint now) {
   std::vector<HttpSessionPtr> sessions;
   sessions.reserve(sessions_.size());
@@ -84,8 +88,16 @@
 }
 
 void HttpListener::StopAccepting() {
-  ErrorCode ignored;
-  acceptor_.close(ignored);
+  // Closing the acceptor resets the connections that wait in its queue, with
+  // the requests that callers have sent over them.
+  ErrorCode error;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    asio::ip::tcp::socket socket(*context_);
+    acceptor_.accept(socket, error);
+    if (!error) AddSession(std::move(socket));
+  }
+  acceptor_.close(error);
 }
 
 void HttpListener::CloseIdle() {
--- a/modules/gg_entry/http_listener.h
+++ b/modules/gg_entry/http_listener.h
@@ -29,7 +29,8 @@
   /** Applies the time limits of all sessions. Called every tick. */
   void CheckTimeouts(TimePoint now);
 
-  /** Stops accepting connections; existing ones stay open. */
+  /** Accepts the connections that callers have opened so far, and no more.
+      Existing ones stay open. */
   void StopAccepting();
 
   /** Closes idle connections now and every other one after its request. */
@@ -40,8 +41,14 @@
       being written. */
   size_t ActiveRequests() const;
 
+  /** Returns the number of connections that are not closed. After CloseIdle(),
+      each of them has a request that is arriving or unread, or is being
+     handled, or a response that is on its way. */
+  size_t OpenConnections() const { return sessions_.size(); }
+
  private:
   void Accept();
+  void AddSession(asio::ip::tcp::socket socket);
 
   asio::io_context* context_;  // not owned
   Options options_;
--- a/modules/gg_entry/http_session.cc
+++ b/modules/gg_entry/http_session.cc
@@ -1,6 +1,7 @@
 #include "gg_entry/http_session.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "gg_http/header_policy.h"
@@ -71,6 +72,11 @@
 void HttpSession::OnRead(const ErrorCode& error, size_t count) {
   is_read_pending_ = false;
   if (phase_ == Phase::kClosed) return;
+  const bool was_cancelled = std::exchange(is_idle_read_cancelled_, false);
+  if (was_cancelled && error == asio::error::operation_aborted) {
+    OnIdleReadCancelled();
+    return;
+  }
   if (error) {
     has_read_error_ = true;
     if (phase_ == Phase::kWriting) return;  // OnWritten() follows
@@ -246,8 +252,22 @@
 }
 
 void HttpSession::CloseIfNothingUnread() {
+  // The pending read may have taken a part of a request from the socket
+  // already, with its handler still to run. Cancelling it leaves that part
+  // intact.
+  if (!IsOpenAndIdle(socket_) || is_idle_read_cancelled_) return;
+  is_idle_read_cancelled_ = true;
+  ErrorCode ignored;
+  socket_.cancel(ignored);
+}
+
+void HttpSession::OnIdleReadCancelled() {
   // A request that lies unread is read next, and then answered.
-  if (IsOpenAndIdle(socket_)) Close();
+  if (IsOpenAndIdle(socket_)) {
+    Close();
+  } else {
+    Read();
+  }
 }
 
 void HttpSession::Abort() { Close(); }
--- a/modules/gg_entry/http_session.h
+++ b/modules/gg_entry/http_session.h
@@ -107,6 +107,9 @@
   void Close();
   /** Closes an idle connection unless a part of a request has arrived. */
   void CloseIfNothingUnread();
+  /** Continues after CloseIfNothingUnread(), when the pending read has ended
+      without data. */
+  void OnIdleReadCancelled();
   /** Closes the connection, and calls the hook if a request was being
       handled. */
   void CloseAndReport();
@@ -125,6 +128,7 @@
   bool is_read_pending_ = false;
   bool has_read_error_ = false;
   bool close_when_idle_ = false;
+  bool is_idle_read_cancelled_ = false;
   bool keep_alive_ = true;
   bool is_head_request_ = false;
   bool sent_continue_ = false;
--- a/modules/gg_http/traffic_server.cc
+++ b/modules/gg_http/traffic_server.cc
@@ -124,8 +124,18 @@
 void TrafficServer::StopAccepting() {
   if (workers_.empty()) return;
   asio::post(workers_[0]->context, [this] {
-    ErrorCode ignored;
-    acceptor_->close(ignored);
+    // Closing the acceptor resets the connections that wait in its queue, with
+    // the requests that callers have sent over them.
+    ErrorCode error;
+    acceptor_->non_blocking(true, error);
+    while (!error) {
+      Worker* worker = NextWorker();
+      asio::ip::tcp::socket socket(worker->context);
+      acceptor_->accept(socket, error);
+      if (!error) AddConnection(worker, std::move(socket));
+    }
+    acceptor_->close(error);
+    has_stopped_accepting_ = true;
   });
 }
 
@@ -147,7 +157,7 @@
 
 asio::awaitable<void> TrafficServer::AcceptConnections() {
   while (acceptor_->is_open()) {
-    Worker* worker = workers_[next_worker_++ % workers_.size()].get();
+    Worker* worker = NextWorker();
     asio::ip::tcp::socket socket(worker->context);
     ErrorCode error;
     co_await acceptor_->async_accept(socket, Await(&error));
@@ -156,13 +166,24 @@
       co_await SleepFor(kAcceptRetryDelay);
       continue;
     }
-    asio::co_spawn(worker->context, ServeConnection(worker, std::move(socket)),
-                   [](std::exception_ptr exception) {
-                     if (exception) LogException(exception);
-                   });
+    AddConnection(worker, std::move(socket));
   }
 }
 
+TrafficServer::Worker* TrafficServer::NextWorker() {
+  return workers_[next_worker_++ % workers_.size()].get();
+}
+
+void TrafficServer::AddConnection(Worker* worker,
+                                  asio::ip::tcp::socket socket) {
+  ++open_connections_;
+  asio::co_spawn(worker->context, ServeConnection(worker, std::move(socket)),
+                 [this](std::exception_ptr exception) {
+                   --open_connections_;
+                   if (exception) LogException(exception);
+                 });
+}
+
 asio::awaitable<void> TrafficServer::ServeConnection(
     Worker* worker, asio::ip::tcp::socket socket) {
   ErrorCode error;
@@ -233,6 +254,8 @@
                                             Duration idle_timeout) {
   for (CallerConnection* caller : worker->connections) {
     if (!caller->is_idle || Now() - caller->idle_since < idle_timeout) continue;
+    // A request that lies unread is read next, and then answered.
+    if (!IsOpenAndIdle(caller->stream.socket())) continue;
     ErrorCode ignored;
     caller->stream.socket().cancel(ignored);
   }
--- a/modules/gg_http/traffic_server.h
+++ b/modules/gg_http/traffic_server.h
@@ -27,7 +27,8 @@
     io_context. A connection stays on one thread.
 
     Start(), StopAccepting(), CloseIdleConnections() and Stop() must be called
-    from one thread; active_requests() may be called from any thread. */
+    from one thread; active_requests() and is_drained() may be called from any
+    thread. */
 class TrafficServer {
  public:
   struct Options {
@@ -50,7 +51,7 @@
       @return an error that names the address if it cannot be bound. */
   absl::Status Start();
 
-  /** Stops accepting new connections. */
+  /** Accepts the connections that callers have opened so far, and no more. */
   void StopAccepting();
 
   /** Closes all connections without a request in progress, and from then on
@@ -64,10 +65,18 @@
   /** Returns the number of requests in progress. */
   int64_t active_requests() const { return active_requests_; }
 
+  /** Returns true once no connection is accepted any more and none is open on
+      which a request may have arrived. */
+  bool is_drained() const {
+    return has_stopped_accepting_ && open_connections_ == 0;
+  }
+
  private:
   struct Worker;
 
   asio::awaitable<void> AcceptConnections();
+  Worker* NextWorker();
+  void AddConnection(Worker* worker, asio::ip::tcp::socket socket);
   asio::awaitable<void> ServeConnection(Worker* worker,
                                         asio::ip::tcp::socket socket);
   asio::awaitable<void> ServeRequests(Worker* worker, CallerConnection* caller);
@@ -86,6 +95,8 @@
   std::vector<std::unique_ptr<Worker>> workers_;
   std::unique_ptr<asio::ip::tcp::acceptor> acceptor_;
   std::atomic<int64_t> active_requests_ = 0;
+  std::atomic<int64_t> open_connections_ = 0;
+  std::atomic<bool> has_stopped_accepting_ = false;
   std::atomic<bool> is_closing_ = false;
   size_t next_worker_ = 0;
 };
--- a/tests/entry/http_session_test.cc
+++ b/tests/entry/http_session_test.cc
@@ -1,3 +1,5 @@
+#include <vector>
+
 #include "gg_entry/http_listener.h"
 #include "unit/test_support.h"
 
@@ -65,6 +67,32 @@
   CHECK_TRUE(ReadResponse().starts_with("HTTP/1.1 200"));
 }
 
+// Callers opened connections and sent requests just before a stopping daemon
+// closed its acceptor. The kernel had accepted them, the daemon had not.
+TEST(HttpSession, RequestsUnacceptedWhenAcceptingStops_AreAnswered) {
+  constexpr int kCallerCount = 8;
+  std::vector<asio::ip::tcp::socket> callers;
+  for (int i = 0; i < kCallerCount; ++i) {
+    callers.emplace_back(io);
+    callers.back().connect(*ParseEndpoint(kAddress));
+    const std::string request = "GET /read/ HTTP/1.1\r\nHost: shop\r\n\r\n";
+    asio::write(callers.back(), asio::buffer(request));
+  }
+  listener.StopAccepting();
+  listener.CloseIdle();
+  CHECK_TRUE(listener.OpenConnections() >= kCallerCount);
+  RunEventLoop();
+  for (asio::ip::tcp::socket& socket : callers) {
+    std::string text(64, '\0');
+    ErrorCode error;
+    text.resize(socket.read_some(asio::buffer(text), error));
+    CHECK_TRUE(text.starts_with("HTTP/1.1 200"));
+    socket.close();
+  }
+  RunEventLoop();
+  LONGS_EQUAL(0, listener.OpenConnections());
+}
+
 TEST(HttpSession, IdleConnection_IsClosed) {
   listener.CloseIdle();
   STRCMP_EQUAL("", ReadResponse().c_str());
