greengaged: reuse a connection only if answers name their attempt

Cause: a second copy of an answer that arrived after the next request had been sent was taken for that request's answer. Bytes that lay there before were noticed, these were not.

Change: each attempt carries Greengage-Attempt; a connection is kept only if the target repeats it, and an answer on a kept connection must. A stale answer does not count against the target. Targets that don't repeat the field get a new connection for each request.

--- a/modules/gg_http/forwarder.cc
+++ b/modules/gg_http/forwarder.cc
@@ -220,6 +220,7 @@
   if (job.route->is_idempotent) {
     connection = options_.pool->TakeIdle(address, Now());
   }
+  const bool is_reused_connection = connection != nullptr;
   if (connection == nullptr) {
     auto connected = co_await options_.pool->Connect(address);
     if (!connected.ok()) {
@@ -243,6 +244,8 @@
   exchange_options.request = job.request;
   exchange_options.target = connection.get();
   exchange_options.buffered_request_body = job.body ? &*job.body : nullptr;
+  exchange_options.attempt_id = absl::StrCat(absl::Hex(++last_attempt_id_));
+  exchange_options.is_reused_connection = is_reused_connection;
   exchange_options.deadline = state->deadline;
   exchange_options.cancels_on_disconnect = !job.continues_after_disconnect;
   if (state->deadline) {
@@ -320,7 +323,9 @@
       job.body.has_value() && state->attempt_count < options_.max_attempts;
   if (!status.ok()) {
     state->last_error = status;
-    FinishAttempt(job, state, AttemptResult::kFailed);
+    FinishAttempt(job, state,
+                  exchange->has_stale_response() ? AttemptResult::kCancelled
+                                                 : AttemptResult::kFailed);
     const bool is_deadline_exceeded =
         status.code() == absl::StatusCode::kDeadlineExceeded;
     if (job.route->is_idempotent && can_retry && !is_deadline_exceeded) {
--- a/modules/gg_http/forwarder.h
+++ b/modules/gg_http/forwarder.h
@@ -122,6 +122,7 @@
                      AttemptResult result);
 
   Options options_;
+  uint64_t last_attempt_id_ = 0;
 };
 
 }  // namespace greengage
--- a/modules/gg_http/http_types.h
+++ b/modules/gg_http/http_types.h
@@ -42,6 +42,9 @@
 
 /** Names of the header fields that this system reads or sets. */
 inline constexpr std::string_view kOutcomeField = "Greengage-Outcome";
+/** Identifies one attempt at a target. A target that repeats it in its response
+    shows to which request the response belongs. */
+inline constexpr std::string_view kAttemptField = "Greengage-Attempt";
 inline constexpr std::string_view kHopField = "Greengage-Hop";
 inline constexpr std::string_view kHomeRegionField = "Greengage-Home-Region";
 inline constexpr std::string_view kDeadlineField = "Greengage-Deadline-Ms";
--- a/modules/gg_http/target_exchange.cc
+++ b/modules/gg_http/target_exchange.cc
@@ -20,6 +20,7 @@
 void CopyHeader(const http::header<kIsRequest, http::fields>& from,
                 http::message<kIsRequest, Body>* to) {
   CopyEndToEndFields(from, to);
+  to->erase(ToBeast(kAttemptField));
 }
 
 }  // namespace
@@ -111,6 +112,13 @@
     const auto status = parser_->get().result();
     const bool is_interim =
         http::to_status_class(status) == http::status_class::informational;
+    has_stale_response_ =
+        !is_interim && options_.is_reused_connection && !RepeatsAttemptId();
+    if (has_stale_response_) {
+      co_return StepError(absl::StatusCode::kUnknown, Step::kForwardReceive,
+                          options_.target->address,
+                          "the response is to an earlier request");
+    }
     if (!is_interim) co_return absl::OkStatus();
     if (interim_responses == kMaxInterimResponses) {
       co_return StepError(absl::StatusCode::kUnknown, Step::kForwardReceive,
@@ -202,7 +210,8 @@
 
 bool TargetExchange::is_target_reusable() const {
   return is_request_sent_ && parser_.has_value() && parser_->is_done() &&
-         parser_->get().keep_alive() && options_.target->buffer.size() == 0;
+         parser_->get().keep_alive() && options_.target->buffer.size() == 0 &&
+         RepeatsAttemptId();
 }
 
 asio::awaitable<absl::Status> TargetExchange::SendBufferedRequest() {
@@ -324,6 +333,11 @@
   for (const auto& field : options_.extra_fields) {
     fields->set(field.name_string(), field.value());
   }
+  if (options_.attempt_id.empty()) {
+    fields->erase(ToBeast(kAttemptField));
+  } else {
+    fields->set(ToBeast(kAttemptField), options_.attempt_id);
+  }
 }
 
 void TargetExchange::ApplyDeadline() {
@@ -339,6 +353,12 @@
          !IsBodyless(parser_->get().result());
 }
 
+bool TargetExchange::RepeatsAttemptId() const {
+  return !options_.attempt_id.empty() &&
+         FromBeast(parser_->get()[ToBeast(kAttemptField)]) ==
+             options_.attempt_id;
+}
+
 absl::Status TargetExchange::MakeError(Step step,
                                        const ErrorCode& error) const {
   const bool is_caller_error = step == Step::kBodyRead;
--- a/modules/gg_http/target_exchange.h
+++ b/modules/gg_http/target_exchange.h
@@ -30,6 +30,11 @@
   const std::string* buffered_request_body = nullptr;
   /** Header fields to set in the request, in place of the caller's. */
   http::fields extra_fields;
+  /** Value of the request's Greengage-Attempt field, or empty for none. */
+  std::string attempt_id;
+  /** True if other requests were sent over the connection before. The response
+      must then repeat `attempt_id`. */
+  bool is_reused_connection = false;
   /** Time at which the exchange with the target fails. */
   std::optional<TimePoint> deadline;
   /** True if the exchange is cancelled when the caller closes its
@@ -58,7 +63,9 @@
   /** Sends the header and the body of the request. */
   asio::awaitable<absl::Status> SendRequest();
 
-  /** Reads the response header; skips 1xx responses. */
+  /** Reads the response header; skips 1xx responses.
+      @return kUnknown also for a response to an earlier request on a reused
+              connection. */
   asio::awaitable<absl::Status> ReadResponseHeader();
 
   /** Buffers the response body up to kMaxBufferedBodyBytes.
@@ -94,7 +101,13 @@
   /** Returns the response header; valid after ReadResponseHeader(). */
   const ResponseHeader& response() const { return parser_->get().base(); }
 
-  /** Returns true if the target connection may carry another exchange. */
+  /** Returns true if the response was to an earlier request. It says nothing of
+      how the target treats this one. */
+  bool has_stale_response() const { return has_stale_response_; }
+
+  /** Returns true if the target connection may carry another exchange: this
+      one is complete, and the target repeats Greengage-Attempt, so that a late
+      response to an earlier request would be noticed. */
   bool is_target_reusable() const;
 
  private:
@@ -120,6 +133,9 @@
 
   bool ResponseHasBody() const;
 
+  /** Returns true if the response repeats the request's Greengage-Attempt. */
+  bool RepeatsAttemptId() const;
+
   /** Returns the error of a failed step, with the address of the side that
       failed. */
   absl::Status MakeError(Step step, const ErrorCode& error) const;
@@ -132,6 +148,7 @@
   bool is_fully_buffered_ = false;
   bool is_dispatched_ = false;
   bool is_request_sent_ = false;
+  bool has_stale_response_ = false;
 };
 
 }  // namespace greengage
--- a/tests/standins/http_server.cc
+++ b/tests/standins/http_server.cc
@@ -1,6 +1,7 @@
 #include "standins/http_server.h"
 
 #include <iostream>
+#include <sstream>
 
 namespace greengage::standins {
 namespace {
@@ -77,7 +78,17 @@
   response.prepare_payload();
   if (request.get().method() == http::verb::head) response.body().clear();
   ErrorCode error;
-  co_await http::async_write(connection->stream, response, Await(&error));
+  if (connection->repeats_responses) {
+    const std::string repeated = std::move(connection->last_response);
+    std::ostringstream text;
+    text << response;
+    connection->last_response = text.str();
+    co_await asio::async_write(connection->stream, asio::buffer(repeated),
+                               Await(&error));
+  }
+  if (!error) {
+    co_await http::async_write(connection->stream, response, Await(&error));
+  }
   co_return !error && response.keep_alive();
 }
 
--- a/tests/standins/http_server.h
+++ b/tests/standins/http_server.h
@@ -15,6 +15,9 @@
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   std::string address;
+  /** Each response is preceded by the one before it, sent once more. */
+  bool repeats_responses = false;
+  std::string last_response;  // while `repeats_responses`
 };
 
 /** Handles one request. The header has been read, the body has not. Returns
--- a/tests/standins/target_standin.cc
+++ b/tests/standins/target_standin.cc
@@ -13,6 +13,7 @@
 //   short=N      the next N responses have one byte less than Content-Length
 //   lose_then_shed=1  the next request runs and its response is lost; all later
 //                requests are refused as with shed
+//   repeat=1|0   each response is preceded by the connection's previous one
 //   interim=1|0  a 102 response precedes each response
 //   reset=1      resets the request counts and peaks
 // GET /control/stats returns the statistics.
@@ -68,6 +69,7 @@
     if (path.rfind("/control/", 0) == 0) {
       co_return co_await HandleControl(connection, request, path);
     }
+    connection->repeats_responses = repeats_responses_;
     if (target->in_use >= target->slots || is_shedding_) {
       ++refused_requests_;
       co_return co_await RefuseRequest(connection, request);
@@ -90,6 +92,7 @@
     http::response<http::string_body> response(
         http::status::service_unavailable, 11);
     response.set(ToBeast(kOutcomeField), "not-run");
+    RepeatAttemptId(*request, &response);
     co_return co_await Send(connection, *request, std::move(response));
   }
 
@@ -148,6 +151,7 @@
     http::response<http::string_body> final_response(http::status::ok, 11);
     final_response.set(http::field::content_type, "application/json");
     final_response.set("X-Request-Id", HeaderField(*request, "X-Request-Id"));
+    RepeatAttemptId(*request, &final_response);
     final_response.body() = std::move(text);
     co_return co_await Send(connection, *request, std::move(final_response));
   }
@@ -192,6 +196,11 @@
     return std::string(FromBeast(request.get()[ToBeast(name)]));
   }
 
+  static void RepeatAttemptId(const RequestParser& request,
+                              http::fields* response) {
+    response->set(ToBeast(kAttemptField), HeaderField(request, kAttemptField));
+  }
+
   /** Returns true and decrements the count if it is positive. */
   static bool ConsumeFault(int* count) {
     if (*count <= 0) return false;
@@ -215,6 +224,7 @@
     const auto fault = faults.find(name);
     if (fault != faults.end()) *fault->second = value;
     if (name == "shed") is_shedding_ = value != 0;
+    if (name == "repeat") repeats_responses_ = value != 0;
     if (name == "interim") sends_interim_responses_ = value != 0;
     if (name == "reset") {
       for (auto& [address, target] : targets_) {
@@ -268,6 +278,7 @@
   int responses_to_shorten_ = 0;
   bool is_shedding_ = false;
   bool sends_interim_responses_ = false;
+  bool repeats_responses_ = false;
 };
 
 }  // namespace
