Refuse odd entries without losing the others

Cause, found by tests and by a mutation test under sanitizers: deeply nested metadata of a configuration was copied by recursion; a port out of range named a target that was tried and failed; numbers out of range were converted without a check; a full read dropped a target whose newest entry was odd; heartbeats with misaligned rows were read in place; in greengaged an odd entry of the list of hosts, or an odd claim, ended its reader by an exception.

Change: values nested more than 64 levels, numbers out of range, addresses that can't be used and names that don't fit into a header field are refused; reasons are short; one odd item leaves the others. FromSeconds() clamps.

--- a/modules/gg_core/time.h
+++ b/modules/gg_core/time.h
@@ -1,7 +1,9 @@
 #ifndef GG_CORE_TIME_H_
 #define GG_CORE_TIME_H_
 
+#include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace greengage {
 
@@ -18,10 +20,16 @@
   return std::chrono::duration<double>(duration).count();
 }
 
-/** Returns `seconds` as a Duration. */
+/** Longest duration that FromSeconds() returns, about 30 years. It can be added
+    to any point in time without an overflow. */
+inline constexpr double kMaxSeconds = 1e9;
+
+/** Returns `seconds` as a Duration. Values beyond kMaxSeconds are clamped, and
+    what is no number counts as zero, as the value may come from a message. */
 inline Duration FromSeconds(double seconds) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(seconds));
+  if (std::isnan(seconds)) return Duration::zero();
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+      std::clamp(seconds, -kMaxSeconds, kMaxSeconds)));
 }
 
 }  // namespace greengage
--- a/modules/gg_entry/heartbeat_exchange.h
+++ b/modules/gg_entry/heartbeat_exchange.h
@@ -111,8 +111,10 @@
   std::vector<asio::ip::udp::endpoint> far_peers_;
   /** Newest heartbeat since the last tick, by host name. */
   std::map<std::string, PeerHeartbeat> pending_heartbeats_;
-  std::map<std::string, PeerWork> peer_work_;     // by host name
-  std::array<char, 64 * 1024> receive_buffer_{};  // holds any datagram
+  std::map<std::string, PeerWork> peer_work_;  // by host name
+  /** Holds any datagram. Aligned as the numbers in a heartbeat are read in
+      place. */
+  alignas(uint64_t) std::array<char, 64 * 1024> receive_buffer_{};
   asio::ip::udp::endpoint sender_;
   bool is_leaving_ = false;
   bool is_store_reachable_ = false;
--- a/modules/gg_entry/store_sync.cc
+++ b/modules/gg_entry/store_sync.cc
@@ -12,8 +12,8 @@
   return {status.message().data(), status.message().size()};
 }
 
-/** Adds the target, daemon or evacuated zone that `event` lists to the
-    snapshot. */
+/** Adds the target, daemon or evacuated zone that `event` is about to the
+    snapshot, if its key exists. */
 void AddToSnapshot(const FleetEvent& event, SnapshotComplete* snapshot) {
   if (const auto* target = std::get_if<TargetListed>(&event)) {
     snapshot->target_ids.insert(target->record.id);
@@ -21,6 +21,14 @@
     snapshot->member_names.insert(member->member.name);
   } else if (const auto* zone = std::get_if<EvacuationChanged>(&event)) {
     if (zone->is_evacuated) snapshot->evacuated_zones.insert(zone->zone);
+  } else if (const auto* refused = std::get_if<ValueRefused>(&event)) {
+    // The entry exists, so that the last valid one stays active.
+    if (!refused->target_id.empty()) {
+      snapshot->target_ids.insert(refused->target_id);
+    }
+    if (!refused->member_name.empty()) {
+      snapshot->member_names.insert(refused->member_name);
+    }
   }
 }
 
--- a/modules/gg_fleet/fleet_event.h
+++ b/modules/gg_fleet/fleet_event.h
@@ -47,8 +47,10 @@
 
 /** A value in the store is invalid; the last valid one stays active. */
 struct ValueRefused {
-  std::string key;
+  std::string key;  // as it can be logged
   std::string reason;
+  std::string target_id;    // of a target's entry, or empty
+  std::string member_name;  // of a daemon's entry, or empty
 };
 
 /** The store was restored from an older copy. The entries that follow, up to
--- a/modules/gg_http/order_claims.cc
+++ b/modules/gg_http/order_claims.cc
@@ -103,13 +103,19 @@
 
 OrderClaim OrderClaims::ParseClaim(const std::string& value,
                                    uint64_t revision) const {
-  OrderClaim claim{.revision = revision};
-  const json parsed = json::parse(value, nullptr, false);
-  if (!parsed.is_object()) {
-    claim.error = StepError(absl::StatusCode::kDataLoss, Step::kOrderClaim,
-                            "store", "the claim cannot be read");
-    return claim;
+  try {
+    return DecodeClaim(value, revision);
+  } catch (const json::exception&) {
+    return {.revision = revision,
+            .error = StepError(absl::StatusCode::kDataLoss, Step::kOrderClaim,
+                               "store", "the claim cannot be read")};
   }
+}
+
+OrderClaim OrderClaims::DecodeClaim(const std::string& value,
+                                    uint64_t revision) const {
+  OrderClaim claim{.revision = revision};
+  const json parsed = json::parse(value);
   claim.owner_address = parsed.value("owner", "");
   if (parsed.value("state", "") == "answered") {
     claim.state = ClaimState::kAnswered;
--- a/modules/gg_http/order_claims.h
+++ b/modules/gg_http/order_claims.h
@@ -85,6 +85,9 @@
   /** Parses a stored claim and finds out who owns it. */
   OrderClaim ParseClaim(const std::string& value, uint64_t revision) const;
 
+  /** Like ParseClaim(), but throws for a claim that can't be read. */
+  OrderClaim DecodeClaim(const std::string& value, uint64_t revision) const;
+
   Options options_;
   int64_t lease_id_ = 0;
   TimePoint lease_granted_at_{};
--- a/modules/gg_steering/controller.cc
+++ b/modules/gg_steering/controller.cc
@@ -165,7 +165,9 @@
       }
     }
   } else {
-    ApplyHosts(text, now);
+    const absl::StatusOr<ListedHosts> list = ListedHostsFromJson(text);
+    status = list.status();
+    if (list.ok()) ApplyHosts(*list, now);
   }
   if (!status.ok()) {
     hooks_.log(LogLevel::kError, Event::kSharedValueRefused,
@@ -176,19 +178,9 @@
   AnnounceRevisions();
 }
 
-void Controller::ApplyHosts(const std::string& text, TimePoint now) {
-  const auto json = nlohmann::json::parse(text, nullptr, false);
-  if (!json.is_object() || !json.contains("hosts")) return;
-  listed_hosts_.clear();
-  listed_leaving_hosts_.clear();
-  for (const auto& host : json["hosts"]) {
-    if (!host.is_object()) continue;
-    const std::string address = host.value("address", "");
-    listed_hosts_.insert(address);
-    if (host.value("state", "live") == "leaving") {
-      listed_leaving_hosts_.insert(address);
-    }
-  }
+void Controller::ApplyHosts(const ListedHosts& list, TimePoint now) {
+  listed_hosts_ = list.hosts;
+  listed_leaving_hosts_ = list.leaving_hosts;
   slices_.ApplyHosts({listed_hosts_}, now);
   applied_members_digest_ = 0;
 }
--- a/modules/gg_steering/controller.h
+++ b/modules/gg_steering/controller.h
@@ -12,6 +12,7 @@
 #include "gg_core/time.h"
 #include "gg_steering/controller_hooks.h"
 #include "gg_steering/document_replica.h"
+#include "gg_steering/listed_hosts.h"
 #include "gg_steering/loan_broker.h"
 #include "gg_steering/membership.h"
 #include "gg_steering/peer_message.h"
@@ -154,7 +155,7 @@
   void UpdateMembers();
   void LogLostRegionChanges(TimePoint now);
   void AddLivingMember(const MemberRecord& member);
-  void ApplyHosts(const std::string& text, TimePoint now);
+  void ApplyHosts(const ListedHosts& list, TimePoint now);
 
   /** Returns the seeds and the hosts that the platform lists, without this one.
       The addresses are sorted. */
--- a/modules/gg_steering/ramp_plan.cc
+++ b/modules/gg_steering/ramp_plan.cc
@@ -60,6 +60,10 @@
   try {
     const nlohmann::json parsed = nlohmann::json::parse(text);
     for (const auto& [name, value] : parsed.items()) {
+      if (!value.at("step").is_number_unsigned()) {
+        return StepError(absl::StatusCode::kDataLoss, Step::kStoreCall, "plan",
+                         "a step is no whole number");
+      }
       ServicePosition& position = plan.services[name];
       position.step = value.at("step").get<uint64_t>();
       position.split =
--- a/modules/gg_steering/slice_table.cc
+++ b/modules/gg_steering/slice_table.cc
@@ -129,6 +129,7 @@
   SliceTable table;
   try {
     for (const auto& item : json["owners"]) {
+      if (!item.at(1).is_number_unsigned()) return malformed();
       table.owners.push_back(
           {item.at(0).get<std::string>(), item.at(1).get<uint64_t>()});
     }
--- a/modules/gg_store/store_codec.cc
+++ b/modules/gg_store/store_codec.cc
@@ -16,8 +16,11 @@
 uint64_t ReadUint64(const json& object, const char* key) {
   if (!object.contains(key)) return 0;
   const json& value = object.at(key);
-  return value.is_string() ? std::stoull(value.get<std::string>())
-                           : value.get<uint64_t>();
+  if (value.is_string()) return std::stoull(value.get<std::string>());
+  if (!value.is_number_unsigned()) {
+    throw std::invalid_argument(std::string(key) + " is no whole number");
+  }
+  return value.get<uint64_t>();
 }
 
 StoreEntry DecodeEntry(const json& kv) {
--- a/modules/gg_wire/entry_heartbeat_codec.cc
+++ b/modules/gg_wire/entry_heartbeat_codec.cc
@@ -14,6 +14,10 @@
 /** Largest slowness that is sent, in tenths. Higher values are clamped. */
 constexpr double kMaxSlownessTenths = 1000;
 
+/** Largest number of requests at a target that is accepted. The sum over all
+    daemons stays within the range of an int. */
+constexpr uint32_t kMaxInFlight = 1'000'000;
+
 /** Unit of rates, requests per second. */
 constexpr double kRateUnit = 0.01;
 
@@ -46,6 +50,14 @@
   return report;
 }
 
+/** Returns whether the rows can be read in place. The verifier does not check
+    the alignment of structs in a vector. An empty vector may be anywhere. */
+template <typename Row>
+bool IsAligned(const flatbuffers::Vector<const Row*>* rows) {
+  return rows == nullptr || rows->size() == 0 ||
+         reinterpret_cast<uintptr_t>(rows->Data()) % alignof(Row) == 0;
+}
+
 }  // namespace
 
 std::string EncodeEntryHeartbeat(const EntryHeartbeat& heartbeat) {
@@ -88,6 +100,10 @@
                      "the datagram is no heartbeat");
   }
   const wire::EntryHeartbeat* frame = wire::GetEntryHeartbeat(bytes);
+  if (!IsAligned(frame->work()) || !IsAligned(frame->limited())) {
+    return StepError(absl::StatusCode::kInvalidArgument, Step::kPeerFrame, peer,
+                     "the datagram is not aligned");
+  }
   EntryHeartbeat heartbeat{
       .sender = frame->sender()->str(),
       .incarnation = frame->incarnation(),
@@ -103,7 +119,8 @@
   if (frame->work() != nullptr) {
     for (const wire::TargetWork* row : *frame->work()) {
       heartbeat.targets[row->id_hash()] = {
-          .in_flight = static_cast<int>(row->in_flight()),
+          .in_flight =
+              static_cast<int>(std::min(row->in_flight(), kMaxInFlight)),
           .slowness = row->slowness_tenths() / 10.0,
           .is_ejected = row->is_resting()};
     }
--- a/tests/entry/platform_codec_test.cc
+++ b/tests/entry/platform_codec_test.cc
@@ -129,6 +129,98 @@
   CHECK_TRUE(IsRefused("servers/i-1", ReplaceFirst(target, "ready", "asleep")));
 }
 
+// Another writer left such entries among those of the targets. None of them may
+// end the daemon, and none names a target.
+TEST(FleetCodec, OddEntries_AreRefused) {
+  const auto with = [&](const std::string& from, const std::string& to) {
+    return ReplaceFirst(target, from, to);
+  };
+  for (const char* address :
+       {"10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:-1", "10.0.0.9:+80",
+        "10.0.0.9:080x", "10.0.0.9", ":80", "host:80", "10.0.0.256:80"}) {
+    CHECK_TRUE_TEXT(IsRefused("servers/i-1", with("10.0.0.9:80", address)),
+                    address);
+  }
+  for (const char* slots : {"0", "-1", "1e300", "1e400", "99999999999", "[9]",
+                            "null", "true", "NaN"}) {
+    CHECK_TRUE_TEXT(
+        IsRefused("servers/i-1",
+                  with("\"slots\":9", absl::StrCat("\"slots\":", slots))),
+        slots);
+  }
+  const std::string digits(400, '9');
+  CHECK_TRUE(IsRefused("servers/i-1", with("\"seq\":4", "\"seq\":" + digits)));
+  CHECK_TRUE(IsRefused("servers/i-1",
+                       with("\"coldLeftMs\":1500", "\"coldLeftMs\":1e300")));
+  for (const char* born : {"-5", "1.5e12", "\"5\"", "1e300", "{}"}) {
+    CHECK_TRUE_TEXT(
+        IsRefused("servers/i-1", with("\"born\":1700000000000",
+                                      absl::StrCat("\"born\":", born))),
+        born);
+  }
+  const std::string nested(100'000, '[');
+  CHECK_TRUE(IsRefused("servers/i-1", nested));
+  CHECK_TRUE(IsRefused("servers/i-1", with("\"seq\"", "\"x\":" + nested)));
+  CHECK_TRUE(IsRefused(
+      "servers/i-1",
+      with("\"seq\"",
+           "\"x\":" + nested + std::string(100'000, ']') + ",\"seq\"")));
+  CHECK_TRUE(IsRefused("servers/i-1", std::string(1'000'000, 'x')));
+  CHECK_TRUE(IsRefused("servers/i-1", with("\"v1\"", "\"\xff\xfe\"")));
+  // An identifier is sent to the target in a header field.
+  CHECK_TRUE(IsRefused("servers/i-1\r\nX: y", target));
+  CHECK_TRUE(IsRefused("servers/", target));
+}
+
+TEST(FleetCodec, RefusalOfALargeEntry_HasAShortReason) {
+  const auto event = platform::DecodeItem("servers/" + std::string(5000, 'k'),
+                                          "\"" + std::string(900'000, 'x'));
+  const auto& refused = std::get<ValueRefused>(*event);
+  CHECK_TRUE(refused.reason.size() < 1000);
+  CHECK_TRUE(refused.key.size() < 1000);
+}
+
+TEST(FleetCodec, OddMembers_AreRefused) {
+  const std::string member =
+      platform::EncodeMember({.name = "front-1",
+                              .traffic_address = "10.0.0.1:80",
+                              .peer_address = "10.0.0.1:7000",
+                              .zone = "north-a",
+                              .region = "north",
+                              .incarnation = 5,
+                              .link_mbps = 200});
+  CHECK_FALSE(IsRefused("gg/members/front-1", member));
+  for (const auto& [from, to] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"10.0.0.1:80", "10.0.0.1:65536"},
+           {"10.0.0.1:7000", "10.0.0.1:0"},
+           {"\"incarnation\":5", "\"incarnation\":-5"},
+           {"\"incarnation\":5", "\"incarnation\":1e300"},
+           {"200.0", "1e300"},
+           {"200.0", "-1"}}) {
+    CHECK_TRUE_TEXT(
+        IsRefused("gg/members/front-1", ReplaceFirst(member, from, to)),
+        to.c_str());
+  }
+}
+
+TEST(FleetCodec, OddNumbersInConfiguration_AreRefused) {
+  for (const auto& [from, to] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"\"priority\":2", "\"priority\":1e300"},
+           {"\"attempts\":2", "\"attempts\":1e300"},
+           {"\"weight\":90", "\"weight\":1e300"},
+           {"\"maxHeaderBytes\":16384", "\"maxHeaderBytes\":4294967296"},
+           {"\"maxBodyBytes\":1000", "\"maxBodyBytes\":-1"}}) {
+    CHECK_TRUE_TEXT(IsRefused("op/config", ReplaceFirst(config, from, to)),
+                    to.c_str());
+  }
+  const std::string nested =
+      std::string(100'000, '[') + std::string(100'000, ']');
+  CHECK_TRUE(
+      IsRefused("op/config", ReplaceFirst(config, "{\"name\":\"s\"}", nested)));
+}
+
 TEST(FleetCodec, Member_RoundTrips) {
   const Member member{.name = "front-1",
                       .traffic_address = "10.0.0.1:80",
@@ -219,6 +311,15 @@
   CHECK_FALSE(codec.decode_target_fields(answer.base()).rate_limit);
 }
 
+TEST(MessageCodec, OddNumbers_CountAsNone) {
+  for (const char* load : {"nan,0,8", "inf,0,8", "-3,0,8", "1e308,1e308,8"}) {
+    CHECK_FALSE(Answer(http::status::ok, {{"Upstream-Load", load}}).load);
+  }
+  http::request<http::string_body> request;
+  request.set("Deadline-Ms", "nan");
+  CHECK_FALSE(codec.decode_caller_fields(request).time_left);
+}
+
 TEST(MessageCodec, Lookup_IsDecodedAndEncoded) {
   const auto query = codec.decode_lookup_query(
       "/-/resolve?name=a.example&region=north&zone=n-a");
--- a/tests/entry/request_test.cc
+++ b/tests/entry/request_test.cc
@@ -764,6 +764,23 @@
   CHECK_TRUE(decoded->targets.at(5).is_ejected);
 }
 
+// A check of the alignment refused heartbeats without rows.
+TEST(EntryHeartbeat, HeartbeatOfAnySize_IsAccepted) {
+  for (size_t name = 1; name <= 16; ++name) {
+    for (uint64_t rows = 0; rows < 16; ++rows) {
+      EntryHeartbeat heartbeat{.sender = std::string(name, 'h')};
+      for (uint64_t i = 0; i < rows % 4; ++i) heartbeat.targets[i] = {};
+      for (uint64_t i = 0; i < rows / 4; ++i) heartbeat.rate_limits[i] = {};
+      if (name % 2 == 0) heartbeat.evacuated_zones = {"north-a"};
+      const std::string datagram = EncodeEntryHeartbeat(heartbeat);
+      const auto decoded = DecodeEntryHeartbeat(datagram, "peer");
+      CHECK_TRUE(decoded.ok());
+      LONGS_EQUAL(rows % 4, decoded->targets.size());
+      LONGS_EQUAL(rows / 4, decoded->rate_limits.size());
+    }
+  }
+}
+
 TEST(EntryHeartbeat, CorruptedDatagram_IsRefused) {
   const std::string datagram = EncodeEntryHeartbeat({.sender = "host-1"});
   Random random(3);
--- a/tests/unit/steering_test.cc
+++ b/tests/unit/steering_test.cc
@@ -12,6 +12,31 @@
 
 const TimePoint kStart{std::chrono::hours(1)};
 
+TEST_GROUP(ListedHosts){};
+
+// An entry of another writer ended the daemons that read the list.
+TEST(ListedHosts, OddEntries_AreLeftOutAndTheOthersHold) {
+  const auto list = ListedHostsFromJson(
+      R"({"hosts":[{"address":5},{"address":"a:1","state":7},null,[],)"
+      R"({"address":"b:1","state":"leaving"},{"state":"leaving"}]})");
+  CHECK_TRUE(list.ok());
+  LONGS_EQUAL(2, list->hosts.size());
+  LONGS_EQUAL(1, list->leaving_hosts.size());
+  LONGS_EQUAL(1, list->leaving_hosts.count("b:1"));
+}
+
+TEST(ListedHosts, ValueThatIsNoList_IsRefused) {
+  for (const char* text : {"", "[]", "{}", R"({"hosts":5})", "\xff"}) {
+    CHECK_FALSE(ListedHostsFromJson(text).ok());
+  }
+}
+
+TEST(ListedHosts, NumbersThatDoNotFit_AreRefusedInSharedValues) {
+  CHECK_FALSE(SliceTableFromJson(R"({"owners":[["a:1",1e300]]})").ok());
+  CHECK_FALSE(SliceTableFromJson(R"({"owners":[["a:1",-1]]})").ok());
+  CHECK_FALSE(RampPlanFromJson(R"({"s":{"step":1e300,"split":{}}})").ok());
+}
+
 TEST_GROUP(BudgetTable) {
   BudgetTable table{BudgetTable::Options{.reserve_fraction = 0}};
   PermitRequest bounded{.region = "r", .time_limit = seconds(2)};
