Heed what targets say of themselves; believe only refusals of this request

Cause: nothing read Server-Leaving, nor Retry-After of a target's 503. The statement that a request was not run was believed before the identifier was compared, so a refusal that was written once more on a kept connection turned an order that ran into "not run", or into a second run.

Change: TargetNotices keeps notices by identifier and incarnation; PermissionToSend answers whether a target may be sent a request, why not and until when, for the choice, the check when a connection is open, the refusal and its log line. A 503 without the target's statement is no promise to the caller of an order.

--- a/modules/gg_ctl/request_history.cc
+++ b/modules/gg_ctl/request_history.cc
@@ -33,12 +33,25 @@
     const std::string zone = line.field("zone");
     return zones.count(zone) == 0 ? "" : absl::StrCat("zone ", zone);
   }
-  const bool is_target_event = IsEvent(line, Event::kTargetListed) ||
-                               IsEvent(line, Event::kTargetDraining) ||
-                               IsEvent(line, Event::kTargetUnlisted);
   const std::string target = line.field("target");
-  if (!is_target_event || targets.count(target) == 0) return "";
-  return absl::StrCat("target ", target);
+  if (targets.count(target) == 0) return "";
+  if (IsEvent(line, Event::kTargetLeaving) ||
+      IsEvent(line, Event::kTargetPaused)) {
+    return absl::StrCat("notice ", line.event, " of target ", target);
+  }
+  const bool is_entry_event = IsEvent(line, Event::kTargetListed) ||
+                              IsEvent(line, Event::kTargetDraining) ||
+                              IsEvent(line, Event::kTargetUnlisted);
+  return is_entry_event ? absl::StrCat("target ", target) : "";
+}
+
+/** Returns whether `line` tells why a daemon found no target that it may use:
+    targets of its service are barred by their own notices. */
+bool IsNoticeBehindRefusal(const LogLine& line, const LogLine& refusal) {
+  const bool is_notice = IsEvent(line, Event::kTargetLeaving) ||
+                         IsEvent(line, Event::kTargetPaused);
+  return is_notice && !refusal.field("barred").empty() &&
+         line.source == refusal.source && line.time <= refusal.time;
 }
 
 void AppendLines(std::string* text, const std::string& title,
@@ -102,7 +115,13 @@
         targets.count(line.field("target")) != 0 &&
         std::abs(line.seconds_of_day - last_line.seconds_of_day) <=
             kTargetEventWindowSeconds;
-    if (is_event_of_targets) history.target_events.push_back(line);
+    const bool is_within_window =
+        std::abs(line.seconds_of_day - last_line.seconds_of_day) <=
+        kTargetEventWindowSeconds;
+    if (is_event_of_targets ||
+        (is_within_window && IsNoticeBehindRefusal(line, last_line))) {
+      history.target_events.push_back(line);
+    }
   }
   for (auto& [subject, line] : newest_by_subject) {
     history.daemon_state.push_back(line);
--- a/modules/gg_entry/entry_settings.h
+++ b/modules/gg_entry/entry_settings.h
@@ -17,6 +17,8 @@
   Duration retry_window{};
   double cold_overshoot = 1;  // factor on the rate of a cold target
   double cold_allowance = 0;  // further requests per second to a cold target
+  /** How long a target that is leaving may still be sent requests. */
+  Duration drain_time{};
   Duration max_lookup_ttl{};
 
   friend bool operator==(const EntryBounds&, const EntryBounds&) = default;
--- a/modules/gg_entry/entry_traffic.cc
+++ b/modules/gg_entry/entry_traffic.cc
@@ -54,6 +54,7 @@
                             .fleet_allowance = bounds.retry_allowance,
                             .window = bounds.retry_window});
   picker_->SetColdAllowance(bounds.cold_allowance);
+  picker_->SetDrainTime(bounds.drain_time);
 }
 
 void EntryTraffic::SetView(FleetViewPtr view) {
--- a/modules/gg_entry/forwarded_request.cc
+++ b/modules/gg_entry/forwarded_request.cc
@@ -40,6 +40,28 @@
   return http::to_status_class(status) == http::status_class::successful;
 }
 
+/** Returns the barriers and their numbers of targets, such as
+    "leaving:1,paused:3". */
+std::string BarredTargetsText(const Pick& pick) {
+  std::string text;
+  for (size_t i = 0; i < kSendBarrierCount; ++i) {
+    const auto barrier = static_cast<SendBarrier>(i);
+    if (barrier == SendBarrier::kNone || pick.barred_targets[i] == 0) continue;
+    absl::StrAppend(&text, text.empty() ? "" : ",",
+                    std::string(kSendBarrierNames.Name(barrier)), ":",
+                    pick.barred_targets[i]);
+  }
+  return text;
+}
+
+/** Returns true for a status that tells the caller that its request was not
+    run. A target's response may have it only with a statement of the target. */
+bool PromisesNotRun(http::status status) {
+  return status == http::status::service_unavailable ||
+         status == http::status::too_many_requests ||
+         status == http::status::request_timeout;
+}
+
 /** Returns true for a failure of the target, which another target might not
     have. */
 bool IsTargetFailure(http::status status) {
@@ -138,9 +160,10 @@
                                               now);
   if (!pick.row) {
     refused_utilization_ = pick.refused_utilization;
-    if (pick.reason == NoTargetReason::kRateLimited) {
-      admission_delay_ = pick.admission_delay;
-    }
+    admission_delay_ = pick.reason == NoTargetReason::kAllFull
+                           ? Duration::zero()
+                           : pick.admission_delay;
+    barred_targets_ = BarredTargetsText(pick);
     const std::string reason(kNoTargetReasonNames.Name(pick.reason));
     if (state_.may_have_run) {
       RespondWithError(http::status::bad_gateway, Event::kRequestFailed, reason,
@@ -193,6 +216,15 @@
     OnDeadline();
     return nullptr;
   }
+  // The target may have said something, or left, while the connection was
+  // opened. This request's own share of a cold target's rate is used up.
+  const SendBarrier barrier =
+      traffic_->picker().PermissionToSend(target_row_, Now()).barrier;
+  if (barrier != SendBarrier::kNone && barrier != SendBarrier::kColdShare &&
+      barrier != SendBarrier::kAbsent) {
+    OnTargetBarred(barrier, Now());
+    return nullptr;
+  }
   auto request =
       std::make_shared<TargetRequest>(request_.method(), request_.target(), 11);
   request->method_string(request_.method_string());
@@ -233,14 +265,22 @@
   const TargetResponse& response = *outcome->response;
   const TargetFields fields =
       traffic_->options().message_codec.decode_target_fields(response);
-  if (fields.load)
-    traffic_->board().RecordReportedLoad(target_row_, *fields.load, now);
   *out = fields;
-  if (fields.was_not_run) {
-    *rejection = absl::StrCat("not run: status ", response.result_int());
-  } else if (fields.request_id != caller_fields_.request_id) {
+  // A target may send an earlier response, or refusal, once more on a
+  // connection that was kept. Nothing in it concerns this request.
+  if (!IsForThisRequest(fields, *outcome)) {
     *rejection = "the answer is to another request";
     return false;  // responses are out of order: don't reuse the connection
+  }
+  if (!fields.is_misdirected) RecordNotices(fields, now);
+  if (fields.load) {
+    traffic_->board().RecordReportedLoad(target_row_, *fields.load, now);
+  }
+  if (fields.was_not_run) {
+    *rejection = absl::StrCat("not run: status ", response.result_int());
+  } else if (!state_.is_idempotent && PromisesNotRun(response.result())) {
+    *rejection = absl::StrCat("status ", response.result_int(),
+                              " without the statement that it was not run");
   } else if (fields.has_content_encoding) {
     *rejection = "the answer is encoded";
   } else if (IsSuccess(response.result()) && !fields.is_signed) {
@@ -255,6 +295,48 @@
   return rejection->empty();
 }
 
+bool ForwardedRequest::IsForThisRequest(const TargetFields& fields,
+                                        const AttemptOutcome& outcome) const {
+  if (fields.request_id == caller_fields_.request_id) return true;
+  // A refusal may lack the identifier. On a new connection it can only be for
+  // the one request that was sent there.
+  return fields.was_not_run && fields.request_id.empty() &&
+         !outcome.used_pooled_connection;
+}
+
+void ForwardedRequest::RecordNotices(const TargetFields& fields,
+                                     TimePoint now) {
+  const TargetStatus& row = traffic_->board().row(target_row_);
+  const auto log = [&](LogLevel level, Event event, const std::string& text) {
+    LogEvent(level, event,
+             absl::StrCat("target=", row.target.record.id, text,
+                          " id=", caller_fields_.request_id));
+  };
+  const auto count = [&](const char* notice) {
+    traffic_->options().metrics->IncrementCounter(
+        "greengage_target_notices_total",
+        absl::StrCat("notice=\"", notice, "\""));
+  };
+  if (fields.is_leaving && traffic_->board().RecordLeaving(target_row_, now)) {
+    traffic_->idle_connections().CloseAll(row.key);
+    log(LogLevel::kInfo, Event::kTargetLeaving,
+        absl::StrCat(" address=", row.target.record.address,
+                     " incarnation=", row.target.record.incarnation_ms));
+    count("leaving");
+  }
+  if (fields.pause &&
+      traffic_->board().RecordPause(target_row_, *fields.pause, now)) {
+    log(LogLevel::kInfo, Event::kTargetPaused,
+        absl::StrCat(" pause_ms=", Milliseconds(*fields.pause)));
+    count("pause");
+  }
+  if (!fields.invalid_pause.empty()) {
+    log(LogLevel::kWarning, Event::kTargetPauseInvalid,
+        absl::StrCat(" value=\"", absl::CHexEscape(fields.invalid_pause),
+                     "\""));
+  }
+}
+
 void ForwardedRequest::RecordRateLimit(const TargetFields& fields,
                                        bool is_accepted, TimePoint now) {
   // Another target has the address now; its answer tells nothing of this one.
@@ -303,13 +385,14 @@
   std::string rejection;
   TargetFields fields;
   if (!AcceptResponse(&outcome, now, &rejection, &fields)) {
+    const bool was_not_run =
+        fields.was_not_run && IsForThisRequest(fields, outcome);
     AttemptEnd end = AttemptEnd::kFailed;
-    if (fields.was_not_run) end = AttemptEnd::kShed;
-    if (fields.is_misdirected) end = AttemptEnd::kWrongTarget;
+    if (was_not_run) end = AttemptEnd::kShed;
+    if (was_not_run && fields.is_misdirected) end = AttemptEnd::kWrongTarget;
     EndAttempt(end, 0, now);
-    OnFault(
-        fields.was_not_run ? AttemptFault::kNotRun : AttemptFault::kMayHaveRun,
-        rejection, now);
+    OnFault(was_not_run ? AttemptFault::kNotRun : AttemptFault::kMayHaveRun,
+            rejection, now);
     return;
   }
   const bool is_failure = IsTargetFailure(outcome.response->result());
@@ -391,6 +474,15 @@
   }
 }
 
+void ForwardedRequest::OnTargetBarred(SendBarrier barrier, TimePoint now) {
+  attempt_ = nullptr;
+  EndAttempt(AttemptEnd::kCancelled, 0, now);
+  OnFault(AttemptFault::kNotSent,
+          absl::StrCat("the target is barred: ",
+                       std::string(kSendBarrierNames.Name(barrier))),
+          now);
+}
+
 void ForwardedRequest::OnDeadline() {
   const TimePoint now = Now();
   const bool was_sent = attempt_ != nullptr && attempt_->is_sent();
@@ -487,6 +579,9 @@
                  absl::StrFormat("%.3f", ToSeconds(pause)));
     absl::StrAppend(&outcome, " utilization=", refused_utilization_,
                     " return_ms=", Milliseconds(pause));
+    if (!barred_targets_.empty()) {
+      absl::StrAppend(&outcome, " barred=", barred_targets_);
+    }
   }
   response.set(http::field::content_type, "text/plain");
   response.body() = reason + "\n";
--- a/modules/gg_entry/forwarded_request.h
+++ b/modules/gg_entry/forwarded_request.h
@@ -39,12 +39,22 @@
       @return whether the response can be used. */
   bool AcceptResponse(AttemptOutcome* outcome, TimePoint now,
                       std::string* rejection, TargetFields* fields);
+  /** Returns whether a response is to this request, and not to an earlier one
+      on the same connection. */
+  bool IsForThisRequest(const TargetFields& fields,
+                        const AttemptOutcome& outcome) const;
+  /** Records that the target is leaving or asks for a pause, if a response
+      says so. */
+  void RecordNotices(const TargetFields& fields, TimePoint now);
   /** Records the rate limit that a response names.
       @param is_accepted  the response is the target's own answer; only such a
              response without a limit shows that there is none. */
   void RecordRateLimit(const TargetFields& fields, bool is_accepted,
                        TimePoint now);
   void OnFault(AttemptFault fault, const std::string& reason, TimePoint now);
+  /** Continues with another target when the current one may not be sent the
+      request any more. */
+  void OnTargetBarred(SendBarrier barrier, TimePoint now);
   void OnDeadline();
   void OnCallerGone();
   /** Ends the request if its caller has disconnected.
@@ -82,6 +92,7 @@
   double refused_utilization_ = 0;  // see Pick::refused_utilization
   int rate_limited_targets_ = 0;    // that passed it on, over all attempts
   Duration admission_delay_{};      // see Pick::admission_delay
+  std::string barred_targets_;      // see Pick::barred_targets
 
   std::shared_ptr<TargetAttempt> attempt_;
   size_t target_row_ = 0;
--- a/modules/gg_entry/message_codec.h
+++ b/modules/gg_entry/message_codec.h
@@ -30,6 +30,11 @@
   std::optional<double> rate_limit;
   /** The value of a rate limit that can't be read; empty when there is none. */
   std::string invalid_rate_limit;
+  bool is_leaving = false;  // the target says that it is leaving
+  /** For how long a target that refused the request wants no other one. */
+  std::optional<Duration> pause;
+  /** A pause that can't be read; empty when there is none. */
+  std::string invalid_pause;
   /** How long the target keeps an idle connection open. */
   std::optional<Duration> keep_alive_timeout;
 };
--- a/modules/gg_entry/target_attempt.cc
+++ b/modules/gg_entry/target_attempt.cc
@@ -155,6 +155,7 @@
 
 void TargetAttempt::Finish(AttemptOutcome outcome) {
   ReturnBodyBytes();
+  outcome.used_pooled_connection = uses_pooled_connection_;
   const auto on_done = std::move(options_.on_done);
   const bool is_reusable = outcome.reusable_connection != nullptr;
   if (is_reusable) {
--- a/modules/gg_entry/target_attempt.h
+++ b/modules/gg_entry/target_attempt.h
@@ -20,7 +20,8 @@
   std::optional<TargetResponse> response;
   AttemptFault fault = AttemptFault::kNotSent;  // when there is no response
   std::string reason;                           // of the fault
-  bool is_connection_refused = false;  // no process listens at the address
+  bool is_connection_refused = false;   // no process listens at the address
+  bool used_pooled_connection = false;  // other requests were sent there before
   /** The connection, when it can be reused for another request. */
   PooledConnectionPtr reusable_connection;
 };
--- a/modules/gg_request/gg_request.h
+++ b/modules/gg_request/gg_request.h
@@ -18,6 +18,8 @@
 #include "gg_request/region_plan.h"
 #include "gg_request/retry_delay.h"
 #include "gg_request/route_table.h"
+#include "gg_request/send_permission.h"
+#include "gg_request/target_notices.h"
 #include "gg_request/target_picker.h"
 #include "gg_request/target_rate_limiter.h"
 #include "gg_request/target_status_table.h"
--- a/modules/gg_request/target_picker.cc
+++ b/modules/gg_request/target_picker.cc
@@ -95,19 +95,52 @@
   found->second += kResponseTimeWeight * (seconds - found->second);
 }
 
-bool TargetPicker::IsUsable(size_t index, const PickRequest& request,
-                            TimePoint now) {
+SendPermission TargetPicker::PermissionToSend(size_t index, TimePoint now) {
   const TargetStatus& row = targets_->row(index);
-  if (!row.is_listed || targets_->IsAbsent(row, now)) return false;
+  if (!row.is_listed) return {.barrier = SendBarrier::kUnlisted};
+  if (targets_->IsAbsent(row, now)) {
+    return {.barrier = SendBarrier::kAbsent, .ends_at = row.absent_until};
+  }
+  const TargetNotice& notice = row.notice;
+  const bool is_leaving = notice.leaving_since.has_value();
+  if (is_leaving && now >= *notice.leaving_since + options_.drain_time) {
+    return {.barrier = SendBarrier::kLeaving};
+  }
+  if (notice.paused_until > now) {
+    return {.barrier = SendBarrier::kPaused, .ends_at = notice.paused_until};
+  }
+  const bool is_cold = row.target.cold_until > now;
+  if (is_cold && !cold_limiter_.CanTake(row.target.record.id, ColdRate(row),
+                                        view_->sender_count, now)) {
+    return {.barrier = SendBarrier::kColdShare};
+  }
+  return {.is_last_resort = is_leaving};
+}
+
+bool TargetPicker::IsEligible(size_t index, const PickRequest& request) const {
   const auto& tried = request.tried;
   if (std::find(tried.begin(), tried.end(), index) != tried.end()) return false;
   const auto& home_regions = request.route->home_regions;
-  if (!home_regions.empty() && !Contains(home_regions, row.target.region)) {
-    return false;
+  return home_regions.empty() ||
+         Contains(home_regions, targets_->row(index).target.region);
+}
+
+void TargetPicker::ExplainNoneUsable(const PickRequest& request, TimePoint now,
+                                     Pick* pick) {
+  pick->reason = NoTargetReason::kNoneUsable;
+  for (const size_t index :
+       targets_->RowsForService(std::string(request.service))) {
+    if (!IsEligible(index, request)) continue;
+    const SendPermission permission = PermissionToSend(index, now);
+    ++pick->barred_targets[static_cast<size_t>(permission.barrier)];
+    if (permission.barrier != SendBarrier::kPaused) continue;
+    const Duration delay = *permission.ends_at - now;
+    const bool is_first = pick->reason != NoTargetReason::kAllPaused;
+    pick->reason = NoTargetReason::kAllPaused;
+    if (is_first || delay < pick->admission_delay) {
+      pick->admission_delay = delay;
+    }
   }
-  if (row.target.cold_until <= now) return true;
-  return cold_limiter_.CanTake(row.target.record.id, ColdRate(row),
-                               view_->sender_count, now);
 }
 
 std::string TargetPicker::ChooseRegion(const PickRequest& request,
@@ -125,6 +158,7 @@
     const std::string& region = row.target.region;
     if (!home_regions.empty() && !Contains(home_regions, region)) continue;
     if (row.ejected_until > now || targets_->IsAbsent(row, now)) continue;
+    if (row.notice.leaving_since || row.notice.paused_until > now) continue;
     plan.regions[region].capacity += Capacity(row);
   }
   const RegionShares planned = PlanRegionShares(options_.region, plan.regions);
@@ -162,14 +196,36 @@
   return is_near;
 }
 
+std::vector<size_t> TargetPicker::CandidatesInAnyRegion(
+    const PickRequest& request, std::string* region, TimePoint now) {
+  for (const bool is_last_resort : {false, true}) {
+    auto candidates = Candidates(request, *region, is_last_resort, now);
+    if (!candidates.empty()) return candidates;
+    // Any other region is better than a refusal.
+    for (const std::string& other : options_.regions) {
+      candidates = Candidates(request, other, is_last_resort, now);
+      if (candidates.empty()) continue;
+      *region = other;
+      return candidates;
+    }
+  }
+  return {};
+}
+
 std::vector<size_t> TargetPicker::Candidates(const PickRequest& request,
                                              const std::string& region,
+                                             bool is_last_resort,
                                              TimePoint now) {
   std::vector<size_t> candidates;
   for (const size_t index :
        targets_->RowsForService(std::string(request.service))) {
     if (targets_->row(index).target.region != region) continue;
-    if (IsUsable(index, request, now)) candidates.push_back(index);
+    if (!IsEligible(index, request)) continue;
+    const SendPermission permission = PermissionToSend(index, now);
+    if (permission.is_granted() &&
+        permission.is_last_resort == is_last_resort) {
+      candidates.push_back(index);
+    }
   }
   candidates = WithoutEjected(candidates, now);
   // A cold target is so slow that its answers are late. It is used only if
@@ -337,19 +393,10 @@
   Pick pick;
   pick.region =
       request.region.empty() ? ChooseRegion(request, now) : request.region;
-  std::vector<size_t> candidates = Candidates(request, pick.region, now);
-  if (candidates.empty()) {
-    // No usable target in the region: any other region is better than a
-    // refusal.
-    for (const std::string& region : options_.regions) {
-      candidates = Candidates(request, region, now);
-      if (candidates.empty()) continue;
-      pick.region = region;
-      break;
-    }
-  }
+  const std::vector<size_t> candidates =
+      CandidatesInAnyRegion(request, &pick.region, now);
   if (candidates.empty()) {
-    pick.reason = NoTargetReason::kNoneUsable;
+    ExplainNoneUsable(request, now, &pick);
     return pick;
   }
   const std::optional<size_t> best =
--- a/modules/gg_request/target_picker.h
+++ b/modules/gg_request/target_picker.h
@@ -1,6 +1,7 @@
 #ifndef GG_REQUEST_TARGET_PICKER_H_
 #define GG_REQUEST_TARGET_PICKER_H_
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -13,6 +14,7 @@
 #include "gg_request/cold_target_limiter.h"
 #include "gg_request/object_distribution.h"
 #include "gg_request/region_plan.h"
+#include "gg_request/send_permission.h"
 #include "gg_request/target_rate_limiter.h"
 #include "gg_request/target_status_table.h"
 #include "gg_request/weighted_round_robin.h"
@@ -22,10 +24,17 @@
 struct RouteRule;
 
 /** Why no target can take a request. */
-enum class NoTargetReason { kNone, kNoneUsable, kAllFull, kRateLimited };
+enum class NoTargetReason {
+  kNone,
+  kNoneUsable,
+  kAllFull,
+  kRateLimited,
+  kAllPaused
+};
 
-inline constexpr EnumNames<NoTargetReason, 4> kNoTargetReasonNames{
-    {"none", "no_usable_target", "all_targets_full", "targets_rate_limited"}};
+inline constexpr EnumNames<NoTargetReason, 5> kNoTargetReasonNames{
+    {"none", "no_usable_target", "all_targets_full", "targets_rate_limited",
+     "targets_paused"}};
 
 /** Describes a request for which a target is to be chosen. */
 struct PickRequest {
@@ -49,6 +58,9 @@
   int rate_limited_targets = 0;
   /** Of a request that no target admits: time until one is expected to. */
   Duration admission_delay{};
+  /** Of a request without a usable target: how many targets of the service are
+      barred, by SendBarrier. */
+  std::array<int, kSendBarrierCount> barred_targets{};
 };
 
 /** Chooses the target of a request.
@@ -104,6 +116,9 @@
         margin of 0.3), and of none at 80 per second (0.2). */
     double region_margin = 1.9;
     double cold_allowance = 0;  // see ColdTargetLimiter
+    /** How long a target that says that it is leaving may still be sent
+        requests. They go there only if no other target is usable. */
+    Duration drain_time{};
     /** Response time of a service without responses so far. */
     Duration default_response_time = std::chrono::milliseconds(300);
   };
@@ -117,6 +132,9 @@
     cold_limiter_.SetAllowance(allowance);
   }
 
+  /** Sets another time to drain; see Options::drain_time. */
+  void SetDrainTime(Duration time) { options_.drain_time = time; }
+
   /** Sets a new view. The status table must have been given the same view
       before. */
   void SetView(FleetViewPtr view);
@@ -128,6 +146,11 @@
   /** Returns the limiter of the targets that name rate limits. */
   TargetRateLimiter& rate_limiter() { return rate_limiter_; }
 
+  /** Returns whether this daemon may send a request to the target in `row` at
+      all. A failing target's ejection and a target's rate limit are weighed
+      against the other targets instead, by Choose(). */
+  SendPermission PermissionToSend(size_t row, TimePoint now);
+
   /** Chooses the target of a request. If the target is cold, takes one request
       from this daemon's share for it. A target that has reached its rate limit
       is passed over for the next one in the object's order, in the same region.
@@ -145,11 +168,24 @@
   std::string ChooseRegion(const PickRequest& request, TimePoint now);
   std::vector<bool> RegionsNear(const std::vector<double>& weights,
                                 double position, double margin) const;
+  /** Returns the candidates in the region named by `region`, or else in
+      another one, whose name replaces it. */
+  std::vector<size_t> CandidatesInAnyRegion(const PickRequest& request,
+                                            std::string* region, TimePoint now);
+  /** Returns the usable targets of a region, in the order of the request's
+      object.
+      @param is_last_resort  selects the leaving targets instead of the
+             others. */
   std::vector<size_t> Candidates(const PickRequest& request,
-                                 const std::string& region, TimePoint now);
+                                 const std::string& region, bool is_last_resort,
+                                 TimePoint now);
   std::vector<size_t> WithoutEjected(const std::vector<size_t>& candidates,
                                      TimePoint now) const;
-  bool IsUsable(size_t row, const PickRequest& request, TimePoint now);
+  /** Returns whether the target may serve the request, apart from its
+      state. */
+  bool IsEligible(size_t row, const PickRequest& request) const;
+  /** Records in `pick` why no target is usable. */
+  void ExplainNoneUsable(const PickRequest& request, TimePoint now, Pick* pick);
   double ColdRate(const TargetStatus& row) const;
   /** Returns the slots of a target that can be used within its rate limit. */
   double Capacity(const TargetStatus& row) const;
--- a/modules/gg_request/target_status_table.cc
+++ b/modules/gg_request/target_status_table.cc
@@ -58,6 +58,7 @@
   }
   rows_[index].key = key;
   rows_[index].key_hash = Hash64(key);
+  rows_[index].notice = notices_.Find(rows_[index].key_hash);
   return index;
 }
 
@@ -184,6 +185,23 @@
   rows_[row].reported_at = now;
 }
 
+bool TargetStatusTable::RecordLeaving(size_t index, TimePoint now) {
+  TargetStatus& row = rows_[index];
+  const bool is_new = !row.notice.leaving_since.has_value();
+  notices_.RecordLeaving(row.key_hash, now);
+  row.notice = notices_.Find(row.key_hash);
+  return is_new;
+}
+
+bool TargetStatusTable::RecordPause(size_t index, Duration pause,
+                                    TimePoint now) {
+  TargetStatus& row = rows_[index];
+  const TimePoint previous_end = row.notice.paused_until;
+  notices_.RecordPause(row.key_hash, now + pause);
+  row.notice = notices_.Find(row.key_hash);
+  return row.notice.paused_until > previous_end;
+}
+
 double TargetStatusTable::Utilization(const TargetStatus& row,
                                       TimePoint now) const {
   double requests = row.own_in_flight + row.peers_in_flight;
--- a/modules/gg_request/target_status_table.h
+++ b/modules/gg_request/target_status_table.h
@@ -8,6 +8,7 @@
 
 #include "gg_core/time.h"
 #include "gg_fleet/fleet_view.h"
+#include "gg_request/target_notices.h"
 
 namespace greengage {
 
@@ -64,6 +65,7 @@
   /** Nothing is sent to the target until then: its address refuses connections,
       does not respond, or belongs to another target. */
   TimePoint absent_until{};
+  TargetNotice notice;
 };
 
 /** Table of the targets with the load and health of each.
@@ -142,6 +144,14 @@
   /** Records the load that a target reported: requests running and waiting. */
   void RecordReportedLoad(size_t row, double load, TimePoint now);
 
+  /** Records that a target said that it is leaving.
+      @return true if it had not said so before. */
+  bool RecordLeaving(size_t row, TimePoint now);
+
+  /** Records that a target wants no requests from this daemon for `pause`.
+      @return true if that extends the time. */
+  bool RecordPause(size_t row, Duration pause, TimePoint now);
+
   //==============================================================================
   /** Returns the known number of requests per slot at the target. */
   double Utilization(const TargetStatus& row, TimePoint now) const;
@@ -182,6 +192,7 @@
   bool MarkAbsent(TargetStatus* row, TimePoint now);
 
   Options options_;
+  TargetNotices notices_{TargetNotices::Options{}};
   std::vector<TargetStatus> rows_;
   std::vector<size_t> free_rows_;  // indices of rows to reuse
   std::map<std::string, size_t> rows_by_key_;
--- a/tests/entry/entry_path_fixture.h
+++ b/tests/entry/entry_path_fixture.h
@@ -37,7 +37,7 @@
        << "\nnetwork.listen.directory=" << kLookupAddress
        << "\nnetwork.internalPorts=18090,18099\nnetwork.zones.north-a=north\n"
        << "platform.platform.addr=" << kStoreAddress
-       << "\nterms.bounds.graceS=2\n"
+       << "\nterms.bounds.graceS=2\nterms.bounds.drainMs=1000\n"
        << "terms.bounds.retryBudgetRatio=0.2\nterms.bounds.retrySlack=62\n"
        << "terms.bounds.budgetWindowS=10\nterms.bounds.coldOvershoot=1.5\n"
        << "terms.bounds.coldSlack=5\nterms.bounds.ttl_max_s=5\n";
--- a/tests/entry/entry_path_test.cc
+++ b/tests/entry/entry_path_test.cc
@@ -46,6 +46,42 @@
   }
 }
 
+// A target repeated an earlier refusal on a kept connection. The caller was
+// told that its order had not run, or the order ran at a second target.
+TEST(EntryPath, EarlierRefusalSentOnceMore_IsNotTakenForTheAnswer) {
+  StartServing();
+  world->SetFaults({.repeats_responses = true});
+  int unknown = 0;
+  for (int i = 0; i < 5; ++i) {
+    SendOrder("shed");
+    const unsigned status = SendOrder("").result_int();
+    CHECK_TRUE(status == 200 || status == 502 || status == 503);
+    LONGS_EQUAL(status == 503 ? 0 : 1, world->RunCount(last_id));
+    unknown += status == 502 ? 1 : 0;
+  }
+  CHECK_TRUE(unknown > 0);
+}
+
+TEST(EntryPath, EarlierAnswerSentOnceMore_NeverReachesTheNextCaller) {
+  StartServing();
+  world->SetFaults({.repeats_responses = true});
+  int answered = 0;
+  for (int i = 0; i < 20; ++i) {
+    const Response response = SendGet(kTrafficAddress, "/read/");
+    if (response.result_int() != 200) continue;
+    ++answered;
+    CHECK_TRUE(response.body().starts_with("whole " + last_id + " "));
+  }
+  CHECK_TRUE(answered >= 5);
+}
+
+// Callers take a 503 for a promise that the order has not run.
+TEST(EntryPath, RefusalThatDoesNotSayNotRun_IsNoPromiseToTheCaller) {
+  StartServing();
+  LONGS_EQUAL(502, SendOrder("unstated").result_int());
+  LONGS_EQUAL(1, world->RunCount(last_id));
+}
+
 TEST(EntryPath, BytesAfterAResponse_AreDiscarded) {
   StartServing();
   for (int i = 0; i < 5; ++i) {
@@ -145,6 +181,66 @@
   LONGS_EQUAL(0, world->CountLateRequests(std::chrono::milliseconds(800)));
 }
 
+// A daemon restarted while a target was withdrawn and the store was away.
+TEST(EntryPath, RestartWhileTheStoreIsAway_BringsBackNoTargetThatLeft) {
+  StartServing();
+  Stop();
+  world->SetStoreDown(true);
+  StartDaemon();
+  CHECK_TRUE(WaitFor(
+      [&] { return SendGet(kTrafficAddress, "/read/").result_int() == 503; }));
+  world->SetDraining("t-1");
+  world->DeregisterTarget("t-1");
+  LONGS_EQUAL(503, SendGet(kTrafficAddress, "/read/").result_int());
+  world->SetStoreDown(false);
+  CHECK_TRUE(WaitFor(
+      [&] { return SendGet(kTrafficAddress, "/read/").result_int() == 200; }));
+  for (int i = 0; i < 20; ++i) {
+    CHECK_TRUE(SendGet(kTrafficAddress, "/read/").body().ends_with("t-2"));
+  }
+  LONGS_EQUAL(0, world->CountLateRequests(Duration::zero()));
+}
+
+// A target that is silent for seconds may be running the order still.
+TEST(EntryPath, OrderAtATargetThatIsSilent_IsNeitherRepeatedNorCalledNotRun) {
+  StartServing(1000);
+  LONGS_EQUAL(504, SendOrder("slow").result_int());
+  LONGS_EQUAL(1, world->RunCount(last_id));
+  std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+  LONGS_EQUAL(1, world->RunCount(last_id));
+}
+
+TEST(EntryPath, OddEntriesOfTargets_LeaveTheOthersInUse) {
+  StartServing();
+  const std::string entry = *world->Get("servers/t-1");
+  const std::string nested(100'000, '[');
+  world->Put("servers/odd-nested", nested);
+  world->Put("servers/odd-member",
+             entry.substr(0, entry.size() - 1) + ",\"x\":" + nested);
+  int number = 0;
+  for (const char* address :
+       {"127.0.7.3:0", "127.0.7.3:65536", "127.0.7.3:-1", "nowhere:80"}) {
+    std::string odd = entry;
+    const std::string known = "127.0.7.3:18201";
+    odd.replace(odd.find(known), known.size(), address);
+    world->Put(absl::StrCat("servers/odd-", ++number), odd);
+  }
+  world->Put("servers/odd-large", std::string(900'000, '9'));
+  world->Put("servers/odd-bytes", "\xff\xfe{");
+  // A change after the entries shows that the daemon still follows the store.
+  world->PutConfig(2, 500, 1);
+  CHECK_TRUE(WaitFor([&] {
+    return SendGet(kTrafficAddress, "/extra1/").result_int() == 200;
+  }));
+  for (int i = 0; i < 20; ++i) {
+    LONGS_EQUAL(200, SendGet(kTrafficAddress, "/read/").result_int());
+  }
+  CHECK_TRUE(Contains(SendGet(kHealthAddress, "/metrics").body(),
+                      "greengage_attempts_total{end=\"answered\"}"));
+  CHECK_FALSE(Contains(SendGet(kHealthAddress, "/metrics").body(),
+                       "greengage_attempts_total{end=\"unreachable\"}"));
+}
+
 TEST(EntryPath, NewConfiguration_TakesEffect_AlsoAfterLostHistory) {
   StartServing();
   LONGS_EQUAL(404, SendGet(kTrafficAddress, "/extra1/").result_int());
--- a/tests/entry/platform_codec_test.cc
+++ b/tests/entry/platform_codec_test.cc
@@ -311,6 +311,48 @@
   CHECK_FALSE(codec.decode_target_fields(answer.base()).rate_limit);
 }
 
+TEST(MessageCodec, Leaving_IsDecoded) {
+  const auto is_leaving = [&](const std::string& value) {
+    return Answer(http::status::ok, {{"Server-Leaving", value}}).is_leaving;
+  };
+  CHECK_TRUE(is_leaving("1"));
+  CHECK_TRUE(is_leaving(" 1 "));
+  CHECK_FALSE(is_leaving("0"));
+  CHECK_FALSE(is_leaving("soon"));
+  CHECK_FALSE(Answer(http::status::ok, {}).is_leaving);
+}
+
+TEST(MessageCodec, Pause_IsDecodedFromRefusalsOnly) {
+  const auto decode = [&](const std::string& value) {
+    return Answer(http::status::service_unavailable, {{"Retry-After", value}});
+  };
+  CHECK_TRUE(*decode("2").pause == std::chrono::seconds(2));
+  CHECK_TRUE(*decode(" 0.25 ").pause == std::chrono::milliseconds(250));
+  CHECK_TRUE(*decode("0").pause == Duration::zero());
+  CHECK_TRUE(*decode("1e12").pause == std::chrono::hours(24));
+  for (const char* invalid : {"-1", "nan", "inf", "soon", "", "1,2",
+                              "Sat, 05 Dec 2026 06:14:33 GMT"}) {
+    CHECK_FALSE(decode(invalid).pause);
+    CHECK_FALSE(decode(invalid).invalid_pause.empty());
+    CHECK_TRUE(decode(invalid).invalid_pause.size() <= 40);
+  }
+  CHECK_TRUE(decode("2").invalid_pause.empty());
+  CHECK_FALSE(Answer(http::status::service_unavailable, {}).pause);
+  CHECK_FALSE(
+      Answer(http::status::too_many_requests, {{"Retry-After", "2"}}).pause);
+}
+
+TEST(MessageCodec, RepeatedPause_IsTheLongest) {
+  http::response<http::string_body> answer(http::status::service_unavailable,
+                                           11);
+  answer.insert("Retry-After", "1");
+  answer.insert("Retry-After", "3");
+  answer.insert("Retry-After", "later");
+  const TargetFields fields = codec.decode_target_fields(answer.base());
+  CHECK_TRUE(*fields.pause == std::chrono::seconds(3));
+  STRCMP_EQUAL("later", fields.invalid_pause.c_str());
+}
+
 TEST(MessageCodec, OddNumbers_CountAsNone) {
   for (const char* load : {"nan,0,8", "inf,0,8", "-3,0,8", "1e308,1e308,8"}) {
     CHECK_FALSE(Answer(http::status::ok, {{"Upstream-Load", load}}).load);
--- a/tests/mutation/decoder_mutation_test.cc
+++ b/tests/mutation/decoder_mutation_test.cc
@@ -267,6 +267,11 @@
     }
     const TargetFields fields = codec.decode_target_fields(answer.base());
     if (fields.load) CHECK_TRUE(*fields.load >= 0 && *fields.load < 1e308);
+    if (fields.pause) {
+      CHECK_TRUE(*fields.pause >= Duration::zero());
+      CHECK_TRUE(*fields.pause <= std::chrono::hours(24));
+    }
+    CHECK_TRUE(fields.invalid_pause.size() <= 40);
     http::request<http::string_body> request;
     request.set("Deadline-Ms", text);
     const CallerFields caller = codec.decode_caller_fields(request);
--- a/tests/standins/platform_standin.cc
+++ b/tests/standins/platform_standin.cc
@@ -116,6 +116,29 @@
   departure_times_[id] = Now();
 }
 
+void PlatformStandin::AnnounceLeaving(const std::string& id) {
+  const std::lock_guard lock(mutex_);
+  targets_.at(id).is_leaving = true;
+}
+
+void PlatformStandin::SetShedding(const std::string& id, bool is_shedding) {
+  const std::lock_guard lock(mutex_);
+  targets_.at(id).is_shedding = is_shedding;
+}
+
+void PlatformStandin::RestartTarget(const std::string& id) {
+  {
+    const std::lock_guard lock(mutex_);
+    Target& target = targets_.at(id);
+    target.is_leaving = false;
+    departure_times_.erase(id);
+    json registration = json::parse(target.registration);
+    registration["born"] = registration["born"].get<int>() + 1;
+    target.registration = registration.dump();
+  }
+  WriteRegistration(id, "ready");
+}
+
 void PlatformStandin::DeregisterTarget(const std::string& id) {
   Erase("servers/" + id);
   const std::lock_guard lock(mutex_);
@@ -211,6 +234,25 @@
   return most;
 }
 
+int PlatformStandin::CountRequestsInPauses(Duration pause) const {
+  constexpr Duration kReactionTime = std::chrono::milliseconds(500);
+  const std::lock_guard lock(mutex_);
+  int count = 0;
+  for (const auto& [id, arrivals] : arrivals_) {
+    const auto refusals = pause_refusals_.find(id);
+    if (refusals == pause_refusals_.end()) continue;
+    count += static_cast<int>(
+        std::count_if(arrivals.begin(), arrivals.end(), [&](TimePoint arrival) {
+          return std::any_of(refusals->second.begin(), refusals->second.end(),
+                             [&](TimePoint refusal) {
+                               return arrival > refusal + kReactionTime &&
+                                      arrival < refusal + pause;
+                             });
+        }));
+  }
+  return count;
+}
+
 bool PlatformStandin::WasAbandoned(const std::string& request_id) const {
   const std::lock_guard lock(mutex_);
   return abandoned_ids_.count(request_id) != 0;
@@ -403,7 +445,7 @@
   if (!co_await ReadBody(connection, request, &body)) co_return false;
   const std::string path(FromBeast(request->get().target()));
   const std::string requested = path.substr(path.rfind('/') + 1);
-  const std::string behaviour = ChooseBehaviour(requested);
+  std::string behaviour = ChooseBehaviour(requested);
   if (HeaderField(*request, "Expect-Instance") != id) {
     co_return co_await Send(connection, *request,
                             StatusResponse(http::status::misdirected_request));
@@ -414,7 +456,10 @@
     if (departure != departure_times_.end()) {
       times_since_departure_.push_back(Now() - departure->second);
     }
+    arrivals_[id].push_back(Now());
+    if (targets_.at(id).is_shedding) behaviour = "shed";
     if (faults_.rate_limit > 0) limited_arrivals_[id].push_back(Now());
+    connection->repeats_responses = faults_.repeats_responses;
     if (behaviour != "shed") ++run_counts_[HeaderField(*request, "Request-Id")];
   }
   co_return co_await RespondAsTarget(id, behaviour, connection, request);
@@ -440,8 +485,14 @@
     RequestParser* request) {
   int work_ms = 0;
   double rate_limit = 0;
+  bool is_leaving = false;
+  std::string retry_after;
   {
     const std::lock_guard lock(mutex_);
+    is_leaving = targets_.at(id).is_leaving;
+    if (is_leaving) departure_times_.try_emplace(id, Now());
+    retry_after = faults_.retry_after;
+    if (behaviour == "shed") pause_refusals_[id].push_back(Now());
     rate_limit = faults_.rate_limit;
     work_ms = behaviour == "slow" ? 3000 : faults_.work_ms;
   }
@@ -449,14 +500,21 @@
   http::response<http::string_body> response(http::status::ok, 11);
   if (rate_limit > 0) response.set("Server-Limit", std::to_string(rate_limit));
   response.set("Request-Id", request_id);
-  if (behaviour == "shed") {
+  if (is_leaving) response.set("Server-Leaving", "1");
+  if (behaviour == "shed" || behaviour == "unstated") {
     response.result(http::status::service_unavailable);
-    response.set("Not-Run", "1");
+    if (behaviour == "shed") response.set("Not-Run", "1");
+    if (!retry_after.empty()) response.set("Retry-After", retry_after);
     co_return co_await Send(connection, *request, std::move(response));
   }
   const bool is_complete =
       co_await Work(connection, request_id, std::chrono::milliseconds(work_ms));
   if (!is_complete || behaviour == "lose") co_return false;
+  if (behaviour == "interim") {
+    http::response<http::empty_body> interim(http::status::processing, 11);
+    ErrorCode error;
+    co_await http::async_write(connection->stream, interim, Await(&error));
+  }
   response.body() = absl::StrCat("whole ", request_id, " of ", id);
   response.set("Upstream-Load", "1,0,8");
   if (behaviour != "unsigned") response.set("Upstream-Stamp", "stamp-" + id);
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -26,6 +26,10 @@
   double wrong_request_id = 0;  // respond with the ID of another request
   int work_ms = 2;              // time to process a request
   double rate_limit = 0;        // named in every response, per second; 0: none
+  /** Each response is preceded by the previous one of the connection. */
+  bool repeats_responses = false;
+  /** Value of the Retry-After field of refusals; empty: none. */
+  std::string retry_after;
 };
 
 /** Simulates the platform in one process: its key-value store and the targets
@@ -33,9 +37,10 @@
     methods may be called from any thread.
 
     The last segment of a request's path selects how the target behaves: lose,
-    shed, fail, truncate, cross, unsigned, encoded, extra, unframed, or slow
-    (takes 3 s). With an empty segment the behaviour is drawn according to
-    SetFaults().
+    shed, unstated (refuses without saying that it did not run it), fail,
+    truncate, cross, unsigned, encoded, extra, unframed, interim (sends an
+    interim response first), or slow (takes 3 s). With an empty segment the
+   behaviour is drawn according to SetFaults().
  */
 class PlatformStandin {
  public:
@@ -58,6 +63,17 @@
       keeps serving. */
   void SetDraining(const std::string& id);
 
+  /** From now on the target says in its responses that it is leaving. Its
+      registration does not change. */
+  void AnnounceLeaving(const std::string& id);
+
+  /** Makes one target refuse every request, or ends that. */
+  void SetShedding(const std::string& id, bool is_shedding);
+
+  /** Starts the target anew: it no longer says that it is leaving, and
+      registers with another start time. */
+  void RestartTarget(const std::string& id);
+
   /** Removes the target's registration from the store. The target keeps
       serving. */
   void DeregisterTarget(const std::string& id);
@@ -102,12 +118,17 @@
       `window`, after the first `warm_up` in which it named its rate limit. */
   int MaxLimitedArrivals(Duration window, Duration warm_up) const;
 
+  /** Returns how many requests targets received while they wanted none: later
+      than half a second after a refusal that named a pause of `pause`, and
+      before its end. */
+  int CountRequestsInPauses(Duration pause) const;
+
   /** Returns whether a target noticed, while it ran the request, that the
       connection had been closed, and stopped. */
   bool WasAbandoned(const std::string& request_id) const;
 
   /** Returns how many requests reached a target more than `grace` after it was
-      set to draining or deregistered. */
+      set to draining or deregistered, or first said that it is leaving. */
   int CountLateRequests(Duration grace) const;
 
   /** Returns the number of calls to the store, including refused ones. */
@@ -135,6 +156,8 @@
     std::string id;
     std::string address;
     std::string registration;  // JSON without the field "state"
+    bool is_leaving = false;
+    bool is_shedding = false;
   };
 
   asio::awaitable<bool> HandleStoreRequest(ClientConnection* connection,
@@ -179,6 +202,8 @@
   TargetFaults faults_;
   /** Arrivals at each target while it names a rate limit, by target. */
   std::map<std::string, std::vector<TimePoint>> limited_arrivals_;
+  std::map<std::string, std::vector<TimePoint>> arrivals_;        // by target
+  std::map<std::string, std::vector<TimePoint>> pause_refusals_;  // by target
   std::map<std::string, int> run_counts_;
   std::set<std::string> abandoned_ids_;  // of requests
   std::atomic<int64_t> store_call_count_ = 0;
--- a/tests/unit/log_test.cc
+++ b/tests/unit/log_test.cc
@@ -129,6 +129,20 @@
   STRCMP_EQUAL("77", history->target_events[0].field("id").c_str());
 }
 
+TEST(RequestHistory, RefusalByBarredTargets_ShowsTheirNotices) {
+  Add("a", "12.0", "E616 target_paused target=i-8 pause_ms=1500 id=66");
+  Add("a", "12.1", "E615 target_leaving target=i-9 id=67");
+  Add("b", "12.2", "E616 target_paused target=i-8 pause_ms=1500 id=68");
+  Add("a", "12.9", "E616 target_paused target=i-8 pause_ms=900 id=69");
+  Add("a", "12.6",
+      "E600 request_refused id=4a status=503 reason=targets_paused "
+      "barred=paused:1,leaving:1");
+  const auto history = FindRequest(lines, "4a");
+  LONGS_EQUAL(2, history->target_events.size());
+  STRCMP_EQUAL("66", history->target_events[0].field("id").c_str());
+  STRCMP_EQUAL("67", history->target_events[1].field("id").c_str());
+}
+
 TEST(RequestHistory, UnknownId_IsAnErrorThatReportsTheLinesRead) {
   Add("b", "41.0", "E690 lines_dropped lines=12 E620=12");
   const auto history = FindRequest(lines, "ffff");
