--- a/modules/gg_ctl/request_history.cc
+++ b/modules/gg_ctl/request_history.cc
@@ -110,16 +110,14 @@
         line.time <= last_line.time) {
       newest_by_subject[subject] = line;
     }
-    const bool is_event_of_targets =
-        IsEvent(line, Event::kTargetEjected) && line.field("id") != id &&
-        targets.count(line.field("target")) != 0 &&
-        std::abs(line.seconds_of_day - last_line.seconds_of_day) <=
-            kTargetEventWindowSeconds;
     const bool is_within_window =
         std::abs(line.seconds_of_day - last_line.seconds_of_day) <=
         kTargetEventWindowSeconds;
-    if (is_event_of_targets ||
-        (is_within_window && IsNoticeBehindRefusal(line, last_line))) {
+    const bool is_event_of_targets = IsEvent(line, Event::kTargetEjected) &&
+                                     line.field("id") != id &&
+                                     targets.count(line.field("target")) != 0;
+    if (is_within_window &&
+        (is_event_of_targets || IsNoticeBehindRefusal(line, last_line))) {
       history.target_events.push_back(line);
     }
   }
--- a/modules/gg_entry/forwarded_request.cc
+++ b/modules/gg_entry/forwarded_request.cc
@@ -36,10 +36,6 @@
   return {text.data(), text.size()};
 }
 
-bool IsSuccess(http::status status) {
-  return http::to_status_class(status) == http::status_class::successful;
-}
-
 /** Returns the barriers and their numbers of targets, such as
     "leaving:1,paused:3". */
 std::string BarredTargetsText(const Pick& pick) {
@@ -54,14 +50,6 @@
   return text;
 }
 
-/** Returns true for a status that tells the caller that its request was not
-    run. A target's response may have it only with a statement of the target. */
-bool PromisesNotRun(http::status status) {
-  return status == http::status::service_unavailable ||
-         status == http::status::too_many_requests ||
-         status == http::status::request_timeout;
-}
-
 /** Returns true for a failure of the target, which another target might not
     have. */
 bool IsTargetFailure(http::status status) {
@@ -259,49 +247,42 @@
                         " id=", caller_fields_.request_id));
 }
 
-bool ForwardedRequest::AcceptResponse(AttemptOutcome* outcome, TimePoint now,
-                                      std::string* rejection,
-                                      TargetFields* out) {
+ResponseVerdict ForwardedRequest::AcceptResponse(AttemptOutcome* outcome,
+                                                 TimePoint now) {
   const TargetResponse& response = *outcome->response;
   const TargetFields fields =
       traffic_->options().message_codec.decode_target_fields(response);
-  *out = fields;
-  // A target may send an earlier response, or refusal, once more on a
-  // connection that was kept. Nothing in it concerns this request.
-  if (!IsForThisRequest(fields, *outcome)) {
-    *rejection = "the answer is to another request";
-    return false;  // responses are out of order: don't reuse the connection
-  }
+  ResponseVerdict verdict =
+      CheckResponse(fields, response.result_int(),
+                    {.request_id = caller_fields_.request_id,
+                     .is_idempotent = state_.is_idempotent,
+                     .is_reused_connection = outcome->used_pooled_connection});
+  // Responses are out of order: the connection is not reused.
+  if (verdict.kind == ResponseKind::kStray) return verdict;
   if (!fields.is_misdirected) RecordNotices(fields, now);
   if (fields.load) {
     traffic_->board().RecordReportedLoad(target_row_, *fields.load, now);
   }
-  if (fields.was_not_run) {
-    *rejection = absl::StrCat("not run: status ", response.result_int());
-  } else if (!state_.is_idempotent && PromisesNotRun(response.result())) {
-    *rejection = absl::StrCat("status ", response.result_int(),
-                              " without the statement that it was not run");
-  } else if (fields.has_content_encoding) {
-    *rejection = "the answer is encoded";
-  } else if (IsSuccess(response.result()) && !fields.is_signed) {
-    *rejection = "a success without signature";
-  }
-  RecordRateLimit(fields, rejection->empty(), now);
+  RecordRateLimit(fields, verdict.kind == ResponseKind::kAnswer, now);
   if (outcome->reusable_connection != nullptr) {
     traffic_->idle_connections().Put(
         TargetKey(), std::move(outcome->reusable_connection),
         fields.keep_alive_timeout.value_or(kDefaultKeepAliveTimeout), now);
   }
-  return rejection->empty();
+  return verdict;
 }
 
-bool ForwardedRequest::IsForThisRequest(const TargetFields& fields,
-                                        const AttemptOutcome& outcome) const {
-  if (fields.request_id == caller_fields_.request_id) return true;
-  // A refusal may lack the identifier. On a new connection it can only be for
-  // the one request that was sent there.
-  return fields.was_not_run && fields.request_id.empty() &&
-         !outcome.used_pooled_connection;
+void ForwardedRequest::OnRejectedResponse(const ResponseVerdict& verdict,
+                                          http::status status, TimePoint now) {
+  const bool was_not_run = verdict.kind == ResponseKind::kRefusal;
+  AttemptEnd end = AttemptEnd::kFailed;
+  if (was_not_run) end = AttemptEnd::kShed;
+  if (was_not_run && status == http::status::misdirected_request) {
+    end = AttemptEnd::kWrongTarget;
+  }
+  EndAttempt(end, 0, now);
+  OnFault(was_not_run ? AttemptFault::kNotRun : AttemptFault::kMayHaveRun,
+          verdict.reason, now);
 }
 
 void ForwardedRequest::RecordNotices(const TargetFields& fields,
@@ -382,17 +363,9 @@
     OnFault(outcome.fault, outcome.reason, now);
     return;
   }
-  std::string rejection;
-  TargetFields fields;
-  if (!AcceptResponse(&outcome, now, &rejection, &fields)) {
-    const bool was_not_run =
-        fields.was_not_run && IsForThisRequest(fields, outcome);
-    AttemptEnd end = AttemptEnd::kFailed;
-    if (was_not_run) end = AttemptEnd::kShed;
-    if (was_not_run && fields.is_misdirected) end = AttemptEnd::kWrongTarget;
-    EndAttempt(end, 0, now);
-    OnFault(was_not_run ? AttemptFault::kNotRun : AttemptFault::kMayHaveRun,
-            rejection, now);
+  const ResponseVerdict verdict = AcceptResponse(&outcome, now);
+  if (verdict.kind != ResponseKind::kAnswer) {
+    OnRejectedResponse(verdict, outcome.response->result(), now);
     return;
   }
   const bool is_failure = IsTargetFailure(outcome.response->result());
--- a/modules/gg_entry/forwarded_request.h
+++ b/modules/gg_entry/forwarded_request.h
@@ -7,6 +7,7 @@
 
 #include "gg_core/event.h"
 #include "gg_entry/entry_traffic.h"
+#include "gg_entry/response_check.h"
 #include "gg_entry/target_attempt.h"
 #include "gg_request/attempt_policy.h"
 
@@ -33,16 +34,12 @@
       was opened. */
   std::shared_ptr<const TargetRequest> MakeTargetRequest();
   void OnOutcome(AttemptOutcome outcome);
-  /** Checks a target's response, records the load that it reports, and returns
-      its connection to the pool.
-      @param rejection  is set to the reason why the response can't be used.
-      @return whether the response can be used. */
-  bool AcceptResponse(AttemptOutcome* outcome, TimePoint now,
-                      std::string* rejection, TargetFields* fields);
-  /** Returns whether a response is to this request, and not to an earlier one
-      on the same connection. */
-  bool IsForThisRequest(const TargetFields& fields,
-                        const AttemptOutcome& outcome) const;
+  /** Checks a target's response, records what it says of the target, and
+      returns its connection to the pool unless responses are out of order. */
+  ResponseVerdict AcceptResponse(AttemptOutcome* outcome, TimePoint now);
+  /** Continues after a response that does not answer the request. */
+  void OnRejectedResponse(const ResponseVerdict& verdict, http::status status,
+                          TimePoint now);
   /** Records that the target is leaving or asks for a pause, if a response
       says so. */
   void RecordNotices(const TargetFields& fields, TimePoint now);
--- a/modules/gg_entry/http_listener.h
+++ b/modules/gg_entry/http_listener.h
@@ -42,8 +42,8 @@
   size_t ActiveRequests() const;
 
   /** Returns the number of connections that are not closed. After CloseIdle(),
-      each of them has a request that is arriving or unread, or is being
-     handled, or a response that is on its way. */
+      each of them has a request that arrives, lies unread or is handled, or a
+      response that is on its way. */
   size_t OpenConnections() const { return sessions_.size(); }
 
  private:
--- a/modules/gg_request/target_notices.h
+++ b/modules/gg_request/target_notices.h
@@ -19,8 +19,8 @@
 };
 
 /** Keeps the notices of targets for longer than the targets are listed: an
-   entry that comes back to the store, or another daemon's view, does not revoke
-   what the target itself said.
+    entry that comes back to the store does not revoke what the target itself
+    said.
 
     Targets are identified by the hash of their identifier and incarnation, as a
     restarted target knows nothing of what it said before. A notice lasts until
@@ -39,8 +39,8 @@
       change the time of the first. */
   void RecordLeaving(uint64_t target, TimePoint now);
 
-  /** Records that the target wants no requests until `until`. An earlier,
-     longer pause remains. */
+  /** Records that the target wants no requests until `until`. A pause that ends
+      later remains. */
   void RecordPause(uint64_t target, TimePoint until);
 
   /** Returns what the target has said; an empty notice if it said nothing. */
