--- a/modules/gg_entry/response_check.cc
+++ b/modules/gg_entry/response_check.cc
@@ -1,6 +1,7 @@
 #include "gg_entry/response_check.h"
 
 #include "absl/strings/str_cat.h"
+#include "gg_entry/message_codec.h"
 
 namespace greengage {
 namespace {
