Refuse requests that may outlast a stopping daemon

Cause: only the end of accepting connections limited new work during a stop. Nothing compared a request's time limit with the time until the exit.

A stopping daemon now sends a request to a target only if its time limit ends before the exit, or, while callers may still use a cached lookup, if 1.5 times the longest recent response of its route does. All others are refused at once as not run. The exit time is fixed at SIGTERM, as a grace time shortened during the stop also cut requests.

--- a/modules/gg_core/event.cc
+++ b/modules/gg_core/event.cc
@@ -75,6 +75,7 @@
       {Event::kRequestAnswered, "request_answered"},
       {Event::kAttemptFailed, "attempt_failed"},
       {Event::kCallerGone, "caller_gone"},
+      {Event::kRequestCut, "request_cut"},
       {Event::kLinesDropped, "lines_dropped"},
   };
   return kTable;
--- a/modules/gg_core/event.h
+++ b/modules/gg_core/event.h
@@ -70,6 +70,7 @@
   kRequestAnswered = 620,
   kAttemptFailed = 621,
   kCallerGone = 622,
+  kRequestCut = 623,
   kLinesDropped = 690,
 };
 
--- a/modules/gg_entry/entry_daemon.cc
+++ b/modules/gg_entry/entry_daemon.cc
@@ -32,6 +32,14 @@
     that stops within this time. */
 constexpr Duration kMaxLookupTtl = std::chrono::seconds(2);
 
+/** Time after SIGTERM by which callers that use a lookup no longer than allowed
+    have repeated it. */
+constexpr Duration kLookupSettleTime =
+    kMaxLookupTtl + std::chrono::milliseconds(500);
+
+/** Largest fraction of the stop's grace period that counts as settle time. */
+constexpr double kMaxSettleFraction = 0.4;
+
 /** Fraction of the stop's grace period in which new connections are still
     accepted, for callers that have not repeated their lookup yet. */
 constexpr double kAcceptingFraction = 0.55;
@@ -309,22 +317,29 @@
 
   void BeginStop(int signal) {
     is_stopping = true;
-    stop_began_at = Now();
-    LogEvent(
-        LogLevel::kInfo, Event::kStopRequested,
-        absl::StrCat(
-            "signal=", signal, " active=", traffic_listener.ActiveRequests(),
-            " grace_s=", ToSeconds(settings.bounds.stop_grace_period)));
+    // The bounds may change during the stop. The platform ends the process
+    // according to those in force now.
+    const Duration grace_period = settings.bounds.stop_grace_period;
+    stop_plan.began_at = Now();
+    stop_plan.settles_at =
+        stop_plan.began_at +
+        std::min<Duration>(
+            kLookupSettleTime,
+            FromSeconds(ToSeconds(grace_period) * kMaxSettleFraction));
+    accepts_until = stop_plan.began_at +
+                    FromSeconds(ToSeconds(grace_period) * kAcceptingFraction);
+    stop_plan.exits_at = stop_plan.began_at + grace_period - kStopMargin;
+    LogEvent(LogLevel::kInfo, Event::kStopRequested,
+             absl::StrCat("signal=", signal,
+                          " active=", traffic_listener.ActiveRequests(),
+                          " grace_s=", ToSeconds(grace_period)));
     heartbeats.AnnounceLeaving();
     store_sync.Deregister();
-    traffic.StartDraining();
+    traffic.StartStopping(stop_plan);
   }
 
   void ContinueStop(TimePoint now) {
-    const Duration elapsed = now - stop_began_at;
-    const Duration accepting_time = FromSeconds(
-        ToSeconds(settings.bounds.stop_grace_period) * kAcceptingFraction);
-    if (elapsed < accepting_time) return;
+    if (now < accepts_until) return;
     if (!is_draining) {
       is_draining = true;
       traffic_listener.StopAccepting();
@@ -333,10 +348,9 @@
                absl::StrCat("active=", traffic_listener.ActiveRequests()));
     }
     const bool is_drained = traffic_listener.OpenConnections() == 0;
-    if (is_drained ||
-        elapsed >= settings.bounds.stop_grace_period - kStopMargin) {
-      io.stop();
-    }
+    if (!is_drained && now < stop_plan.exits_at) return;
+    traffic.InterruptRequests(now);
+    io.stop();
   }
 
   const Options options;
@@ -359,7 +373,8 @@
   bool is_settings_file_invalid = false;
   bool is_stopping = false;
   bool is_draining = false;
-  TimePoint stop_began_at{};
+  StopPlan stop_plan;
+  TimePoint accepts_until{};
   FleetControl fleet_control;  // last: its thread uses the other members
 };
 
--- a/modules/gg_entry/entry_traffic.cc
+++ b/modules/gg_entry/entry_traffic.cc
@@ -1,6 +1,7 @@
 #include "gg_entry/entry_traffic.h"
 
 #include <set>
+#include <vector>
 
 #include "gg_entry/forwarded_request.h"
 #include "gg_insight/metrics.h"
@@ -100,6 +101,15 @@
   return typical <= 0 ? 1 : seconds / typical;
 }
 
+void EntryTraffic::InterruptRequests(TimePoint now) {
+  std::vector<std::shared_ptr<ForwardedRequest>> requests;
+  requests.reserve(requests_->size());
+  for (ForwardedRequest* request : *requests_) {
+    requests.push_back(request->shared_from_this());
+  }
+  for (const auto& request : requests) request->Interrupt(now);
+}
+
 void EntryTraffic::Handle(const HttpSessionPtr& session,
                           SessionRequest request) {
   std::make_shared<ForwardedRequest>(this, session, std::move(request))
--- a/modules/gg_entry/entry_traffic.h
+++ b/modules/gg_entry/entry_traffic.h
@@ -3,6 +3,8 @@
 
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 
 #include "gg_entry/byte_budget.h"
@@ -11,13 +13,22 @@
 #include "gg_entry/idle_connection_pool.h"
 #include "gg_entry/message_codec.h"
 #include "gg_request/fleet_retry_budget.h"
+#include "gg_request/recent_maximum.h"
 #include "gg_request/route_table.h"
 #include "gg_request/target_picker.h"
 
 namespace greengage {
 
+class ForwardedRequest;
 class Metrics;
 
+/** A planned stop of the daemon. */
+struct StopPlan {
+  TimePoint began_at{};
+  TimePoint settles_at{};  // callers have repeated their lookups by then
+  TimePoint exits_at{};    // the process exits at the latest
+};
+
 /** State that all requests of a daemon share: the current FleetView, the
     TargetStatusTable, the TargetPicker, the FleetRetryBudget and the
     IdleConnectionPool. Traffic thread only. */
@@ -49,8 +60,12 @@
     idle_connections_.CloseExpired(now);
   }
 
-  /** From now on callers' connections are closed after the next response. */
-  void StartDraining() { is_draining_ = true; }
+  /** From now on callers' connections are closed after the next response, and
+      requests that may outlast the process are refused. */
+  void StartStopping(const StopPlan& plan) { stop_plan_ = plan; }
+
+  /** Ends and logs the requests that still run when the process exits. */
+  void InterruptRequests(TimePoint now);
 
   //==============================================================================
   /** Returns the limits of the current configuration, or the defaults when none
@@ -68,7 +83,9 @@
   std::shared_ptr<const RouteTable> shared_routes() const { return routes_; }
 
   const Options& options() const { return options_; }
-  bool is_draining() const { return is_draining_; }
+  /** Returns the planned stop; nullopt while none has begun. */
+  const std::optional<StopPlan>& stop_plan() const { return stop_plan_; }
+  bool is_stopping() const { return stop_plan_.has_value(); }
   TargetStatusTable& board() { return board_; }
   TargetPicker& picker() { return *picker_; }
   TargetRateLimiter& rate_limiter() { return picker_->rate_limiter(); }
@@ -89,6 +106,17 @@
       @return `time` divided by the average. */
   double RecordResponseTime(const std::string& route, Duration time);
 
+  /** Longest response times of the routes, for all objects. */
+  RecentMaximum& slowest_response(const std::string& route) {
+    return slowest_responses_[route];
+  }
+
+  /** Returns the list in which every request stands while it exists. Requests
+      share it, as the event loop may destroy them after this object. */
+  const std::shared_ptr<std::set<ForwardedRequest*>>& requests() const {
+    return requests_;
+  }
+
  private:
   Options options_;
   FleetViewPtr view_;
@@ -99,9 +127,12 @@
   IdleConnectionPool idle_connections_;
   std::map<std::string, WeightedRoundRobin> service_choices_;  // by route
   std::map<std::string, double> typical_seconds_;              // by route
+  std::map<std::string, RecentMaximum> slowest_responses_;     // by route
   ByteBudget response_budget_;
   Random random_;
-  bool is_draining_ = false;
+  std::optional<StopPlan> stop_plan_;
+  std::shared_ptr<std::set<ForwardedRequest*>> requests_ =
+      std::make_shared<std::set<ForwardedRequest*>>();
 };
 
 }  // namespace greengage
--- a/modules/gg_entry/forwarded_request.cc
+++ b/modules/gg_entry/forwarded_request.cc
@@ -10,6 +10,7 @@
 #include "gg_insight/metrics.h"
 #include "gg_request/object_key.h"
 #include "gg_request/retry_delay.h"
+#include "gg_request/stop_admission.h"
 
 namespace greengage {
 namespace {
@@ -62,9 +63,14 @@
                                    HttpSessionPtr session,
                                    SessionRequest request)
     : traffic_(traffic),
+      requests_(traffic->requests()),
       session_(std::move(session)),
       request_(std::move(request)),
-      deadline_timer_(*traffic->options().context) {}
+      deadline_timer_(*traffic->options().context) {
+  requests_->insert(this);
+}
+
+ForwardedRequest::~ForwardedRequest() { requests_->erase(this); }
 
 Duration ForwardedRequest::TimeLeft(TimePoint now) const {
   return deadline_ - now;
@@ -73,7 +79,8 @@
 Duration ForwardedRequest::RetryAfterPause(TimePoint now) const {
   RefusalState state{.utilization = refused_utilization_,
                      .admission_delay = admission_delay_,
-                     .time_left = TimeLeft(now)};
+                     .time_left = TimeLeft(now),
+                     .is_served_elsewhere = is_served_elsewhere_};
   if (route_ != nullptr) {
     state.usual_response_time = traffic_->TypicalResponseTime(route_->name);
   }
@@ -134,12 +141,33 @@
   StartNextAttempt(now);
 }
 
+bool ForwardedRequest::MayOutlastProcess(TimePoint now) const {
+  const std::optional<StopPlan>& stop = traffic_->stop_plan();
+  if (!stop) return false;
+  return !MayTakeWhileStopping(
+      {.since_stop = now - stop->began_at,
+       .until_exit = stop->exits_at - now,
+       .time_limit = TimeLeft(now),
+       .slowest_response = traffic_->slowest_response(route_->name).Value(now)},
+      stop->settles_at - stop->began_at);
+}
+
+void ForwardedRequest::RefuseWhileStopping(TimePoint now) {
+  is_served_elsewhere_ = traffic_->view()->sender_count > 1;
+  RespondWithError(http::status::service_unavailable, Event::kRequestRefused,
+                   "stopping", now);
+}
+
 void ForwardedRequest::StartNextAttempt(TimePoint now) {
   if (EndIfCallerGone()) return;
   if (TimeLeft(now) <= Duration::zero()) {
     OnDeadline();
     return;
   }
+  if (!state_.may_have_run && MayOutlastProcess(now)) {
+    RefuseWhileStopping(now);
+    return;
+  }
   const Pick pick = traffic_->picker().Choose({.route = route_,
                                                .service = service_,
                                                .object = caller_fields_.object,
@@ -368,6 +396,7 @@
     OnRejectedResponse(verdict, outcome.response->result(), now);
     return;
   }
+  traffic_->slowest_response(route_->name).Record(now - attempt_began_at_, now);
   const bool is_failure = IsTargetFailure(outcome.response->result());
   EndAttempt(is_failure ? AttemptEnd::kFailed : AttemptEnd::kAnswered,
              is_failure ? 0 : RecordResponseTime(now), now);
@@ -533,7 +562,7 @@
       absl::StrCat("status=", response.result_int(),
                    " attempt_ms=", Milliseconds(now - attempt_began_at_)),
       now);
-  session_->Respond(std::move(out), traffic_->is_draining());
+  session_->Respond(std::move(out), traffic_->is_stopping());
 }
 
 void ForwardedRequest::RespondWithError(http::status status, Event event,
@@ -562,7 +591,22 @@
   traffic_->options().metrics->IncrementCounter(
       "greengage_refusals_total", absl::StrCat("reason=\"", reason, "\""));
   Log(LogLevel::kInfo, event, outcome, now);
-  session_->Respond(std::move(response), traffic_->is_draining());
+  session_->Respond(std::move(response), traffic_->is_stopping());
+}
+
+void ForwardedRequest::Interrupt(TimePoint now) {
+  deadline_timer_.cancel();
+  const std::shared_ptr<TargetAttempt> attempt = std::exchange(attempt_, {});
+  const bool is_sent = attempt != nullptr && attempt->is_sent();
+  if (attempt != nullptr) attempt->Cancel();
+  if (std::exchange(is_finished_, true)) return;
+  const TimePoint stop_began_at =
+      traffic_->stop_plan() ? traffic_->stop_plan()->began_at : now;
+  Log(LogLevel::kWarning, Event::kRequestCut,
+      absl::StrCat("since_stop_ms=", Milliseconds(arrived_at_ - stop_began_at),
+                   " sent=", is_sent ? 1 : 0),
+      now);
+  session_->Abort();
 }
 
 void ForwardedRequest::Log(LogLevel level, Event event, const std::string& text,
--- a/modules/gg_entry/forwarded_request.h
+++ b/modules/gg_entry/forwarded_request.h
@@ -2,6 +2,7 @@
 #define GG_ENTRY_FORWARDED_REQUEST_H_
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,13 +21,23 @@
  public:
   ForwardedRequest(EntryTraffic* traffic, HttpSessionPtr session,
                    SessionRequest request);
+  ~ForwardedRequest();
+  ForwardedRequest(const ForwardedRequest&) = delete;
+  ForwardedRequest& operator=(const ForwardedRequest&) = delete;
 
   /** Finds the route and starts the first attempt, or responds with an
       error. */
   void Start(TimePoint now);
 
+  /** Ends the request without a response, as the process exits. Logs it if its
+      caller still waits. */
+  void Interrupt(TimePoint now);
+
  private:
   bool FindRoute();
+  /** Returns whether the daemon stops and the request, which has not run, could
+      outlast its process. */
+  bool MayOutlastProcess(TimePoint now) const;
   void StartNextAttempt(TimePoint now);
   void StartAttempt(const Pick& pick, TimePoint now);
   /** Returns the request for the target of the current attempt, or nullptr when
@@ -69,10 +80,13 @@
   Duration TimeLeft(TimePoint now) const;
   /** Returns the pause for the Retry-After field of a refusal. */
   Duration RetryAfterPause(TimePoint now) const;
+  /** Responds that this host, which stops, has not run the request. */
+  void RefuseWhileStopping(TimePoint now);
   /** Returns the current target's key in the IdleConnectionPool. */
   std::string TargetKey() const;
 
-  EntryTraffic* traffic_;  // not owned
+  EntryTraffic* traffic_;                                  // not owned
+  std::shared_ptr<std::set<ForwardedRequest*>> requests_;  // has `this`
   HttpSessionPtr session_;
   SessionRequest request_;
   CallerFields caller_fields_;
@@ -86,10 +100,11 @@
   std::vector<size_t> tried_rows_;  // of the TargetStatusTable
   std::string chosen_region_;
   bool is_first_choice_ = false;
-  double refused_utilization_ = 0;  // see Pick::refused_utilization
-  int rate_limited_targets_ = 0;    // that passed it on, over all attempts
-  Duration admission_delay_{};      // see Pick::admission_delay
-  std::string barred_targets_;      // see Pick::barred_targets
+  bool is_served_elsewhere_ = false;  // see RefusalState
+  double refused_utilization_ = 0;    // see Pick::refused_utilization
+  int rate_limited_targets_ = 0;      // that passed it on, over all attempts
+  Duration admission_delay_{};        // see Pick::admission_delay
+  std::string barred_targets_;        // see Pick::barred_targets
 
   std::shared_ptr<TargetAttempt> attempt_;
   size_t target_row_ = 0;
--- a/modules/gg_request/retry_delay.cc
+++ b/modules/gg_request/retry_delay.cc
@@ -24,6 +24,7 @@
 }  // namespace
 
 Duration RetryDelay(const RefusalState& state, double jitter) {
+  if (state.is_served_elsewhere) return Duration::zero();
   Duration delay = kTargetRecoveryDelay;
   if (state.admission_delay > Duration::zero()) {
     delay = state.admission_delay;
--- a/modules/gg_request/retry_delay.h
+++ b/modules/gg_request/retry_delay.h
@@ -13,8 +13,9 @@
   /** Time until a rate-limited target is expected to take the request; zero if
       it was not refused because of a limit. */
   Duration admission_delay{};
-  Duration usual_response_time{};  // of answers on its route; zero: unknown
-  Duration time_left{};            // for which the caller still waits
+  Duration usual_response_time{};    // of answers on its route; zero: unknown
+  Duration time_left{};              // for which the caller still waits
+  bool is_served_elsewhere = false;  // this host stops; others take requests
 };
 
 /** Returns how long a refused caller should wait before it retries.
@@ -25,7 +26,8 @@
     time in which the target serves its queue, extended by a random amount of up
     to the same length. If the targets have reached their rate limits, it is the
     time until the next request is expected to be admitted. If there is no
-    target, it is the time in which one is expected to return.
+    target, it is the time in which one is expected to return. A caller that
+    only has to go to another host does not wait.
     @param jitter  a random number from 0 to 1.
     @return the delay; at most a third of the time left, because callers do not
             wait longer than that. */
--- a/tests/entry/entry_path_fixture.h
+++ b/tests/entry/entry_path_fixture.h
@@ -1,6 +1,8 @@
 #ifndef TESTS_ENTRY_ENTRY_PATH_FIXTURE_H_
 #define TESTS_ENTRY_ENTRY_PATH_FIXTURE_H_
 
+#include <poll.h>
+
 #include <atomic>
 #include <csignal>
 #include <ctime>
@@ -28,7 +30,7 @@
 
 inline TimePoint Now() { return std::chrono::steady_clock::now(); }
 
-inline void WriteSettings() {
+inline void WriteSettings(int grace_seconds = 2) {
   std::ofstream file(kSettingsPath);
   file << "self.node=front-1\nself.zone=north-a\nself.region=north\n"
        << "self.ip=" << kIp << "\nself.limits.memoryMb=260\n"
@@ -37,12 +39,16 @@
        << "\nnetwork.listen.directory=" << kLookupAddress
        << "\nnetwork.internalPorts=18090,18099\nnetwork.zones.north-a=north\n"
        << "platform.platform.addr=" << kStoreAddress
-       << "\nterms.bounds.graceS=2\nterms.bounds.drainMs=1000\n"
+       << "\nterms.bounds.graceS=" << grace_seconds
+       << "\nterms.bounds.drainMs=1000\n"
        << "terms.bounds.retryBudgetRatio=0.2\nterms.bounds.retrySlack=62\n"
        << "terms.bounds.budgetWindowS=10\nterms.bounds.coldOvershoot=1.5\n"
        << "terms.bounds.coldSlack=5\nterms.bounds.ttl_max_s=5\n";
 }
 
+/** Longer than any time limit of the tests. */
+inline constexpr std::chrono::milliseconds kResponseTimeout{8000};
+
 /** Read by the signal handler that EntryPathFixture::StallDaemon() installs. */
 inline std::atomic<int> stall_duration_ms = 0;
 
@@ -124,6 +130,14 @@
 
   using Response = http::response<http::string_body>;
 
+  /** Waits until the peer has sent something or closed the connection. */
+  static bool IsReadableWithin(asio::ip::tcp::socket* socket,
+                               std::chrono::milliseconds time_limit) {
+    pollfd descriptor{
+        .fd = socket->native_handle(), .events = POLLIN, .revents = 0};
+    return ::poll(&descriptor, 1, static_cast<int>(time_limit.count())) > 0;
+  }
+
   /** Sends one request on a new connection. The status is 0 when there is no
       response. */
   Response SendRequest(http::verb method, const std::string& address,
@@ -145,6 +159,7 @@
     request.body() = body;
     if (method == http::verb::post) request.prepare_payload();
     http::write(socket, request, error);
+    if (!IsReadableWithin(&socket, kResponseTimeout)) return response;
     beast::flat_buffer buffer;
     Response read;
     http::read(socket, buffer, read, error);
--- a/tests/entry/request_test.cc
+++ b/tests/entry/request_test.cc
@@ -587,6 +587,59 @@
   CHECK_TRUE(DelaySeconds(0, 10, 0) >= 0.75);
 }
 
+TEST(RetryDelay, RequestServedElsewhere_DoesNotWait) {
+  DOUBLES_EQUAL(
+      0,
+      ToSeconds(RetryDelay(
+          {.time_left = FromSeconds(10), .is_served_elsewhere = true}, 0.5)),
+      1e-6);
+}
+
+TEST_GROUP(StopAdmission){
+    /** Asks 1 s before the process exits. */
+    static bool MayTake(double since_stop, double time_limit,
+                        double slowest_response = 0){
+        return MayTakeWhileStopping(
+            {.since_stop = FromSeconds(since_stop),
+             .until_exit = FromSeconds(1),
+             .time_limit = FromSeconds(time_limit),
+             .slowest_response = FromSeconds(slowest_response)},
+            FromSeconds(2.5));
+}
+}
+;
+
+TEST(StopAdmission, RequestThatEndsBeforeTheProcess_IsTakenAtAnyTime) {
+  CHECK_TRUE(MayTake(0.1, 0.8));
+  CHECK_TRUE(MayTake(5, 0.8));
+}
+
+TEST(StopAdmission, LateRequestThatMayOutlastTheProcess_IsRefused) {
+  CHECK_FALSE(MayTake(2.6, 1));
+  CHECK_FALSE(MayTake(2.6, 5, 0.01));
+}
+
+TEST(StopAdmission, EarlyRequest_IsTakenIfItsRouteIsFast) {
+  CHECK_TRUE(MayTake(2.4, 5, 0.5));
+  CHECK_FALSE(MayTake(2.4, 5, 0.7));
+  CHECK_FALSE(MayTake(2.4, 5, 0));  // no response on the route yet
+}
+
+TEST_GROUP(RecentMaximum){};
+
+TEST(RecentMaximum, Value_IsForgottenAfterTwoPeriods) {
+  const auto at = [](int seconds) {
+    return TimePoint{} + std::chrono::hours(1) + std::chrono::seconds(seconds);
+  };
+  RecentMaximum maximum;
+  LONGS_EQUAL(0, maximum.Value(at(0)).count());
+  maximum.Record(std::chrono::seconds(3), at(0));
+  maximum.Record(std::chrono::seconds(1), at(31));
+  CHECK_TRUE(maximum.Value(at(31)) == std::chrono::seconds(3));
+  CHECK_TRUE(maximum.Value(at(62)) == std::chrono::seconds(1));
+  CHECK_TRUE(maximum.Value(at(200)) == Duration::zero());
+}
+
 TEST(TargetPicker, MostTargetsFailing_StayInUse) {
   UseView(MakeView({{"north", 4}}));
   for (size_t row = 0; row < 3; ++row) {
