End a connection, not the process, on an odd message

Cause: Beast limits the header only; its fields throw above 64 KiB, and a short read after the last chunk violates an assertion of its parser. Nothing caught either before the event loop. The process's last lines name both.

All reads of messages from callers and targets, in both daemons, now call the parser through gg_http/message_parsing.h, which turns an exception into an error. Boost's assertion handler throws.

TargetAttempt.OddEndOfAChunkedResponse and HttpSession.OddTrailerOfARequest ended the test process before.

--- a/modules/gg_entry/http_session.cc
+++ b/modules/gg_entry/http_session.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "gg_http/header_policy.h"
+#include "gg_http/message_parsing.h"
 
 namespace greengage {
 namespace {
@@ -102,19 +102,10 @@
 }
 
 void HttpSession::Parse() {
-  ErrorCode error;
-  while (buffer_.size() > 0 && !parser_->is_done()) {
-    const size_t used = parser_->put(buffer_.data(), error);
-    buffer_.consume(used);
-    if (error == http::error::need_more) {
-      error = {};
-      break;
-    }
-    if (error) {
-      OnParseError(error);
-      return;
-    }
-    if (used == 0) break;
+  const ErrorCode error = ParseBuffered(&buffer_, &*parser_);
+  if (error && error != http::error::need_more) {
+    OnParseError(error);
+    return;
   }
   if (parser_->is_done()) {
     OnParsed();
--- a/modules/gg_entry/target_attempt.cc
+++ b/modules/gg_entry/target_attempt.cc
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>
 
 #include "absl/strings/str_cat.h"
+#include "gg_http/message_parsing.h"
 
 namespace greengage {
 namespace {
@@ -79,29 +80,45 @@
         // closed the connection, which the read shows.
         if (!error) self->is_request_written_ = true;
       });
-  ReadResponse();
+  BeginResponse();
+  ReadSome();
 }
 
-void TargetAttempt::ReadResponse() {
+void TargetAttempt::BeginResponse() {
   parser_.emplace();
   parser_->header_limit(kMaxResponseHeaderBytes);
   parser_->body_limit(kMaxResponseBodyBytes);
   if (request_->method() == http::verb::head) parser_->skip(true);
   parser_->eager(true);
-  ReadSome();
 }
 
 void TargetAttempt::ReadSome() {
-  http::async_read_some(
-      connection_->socket, connection_->buffer, *parser_,
-      [self = shared_from_this()](const ErrorCode& error, size_t) {
-        self->OnReadSome(error);
+  const size_t size = beast::read_size(connection_->buffer, kBodyChunkBytes);
+  if (size == 0) {
+    OnParsed(http::error::buffer_overflow);
+    return;
+  }
+  connection_->socket.async_read_some(
+      connection_->buffer.prepare(size),
+      [self = shared_from_this()](const ErrorCode& error, size_t count) {
+        self->OnReadSome(error, count);
       });
 }
 
-void TargetAttempt::OnReadSome(const ErrorCode& error) {
+void TargetAttempt::OnReadSome(const ErrorCode& error, size_t count) {
   if (is_done_) return;
-  if (error) {
+  connection_->buffer.commit(count);
+  if (error == asio::error::eof) {
+    OnParsed(ParseEndOfStream(&*parser_));
+  } else if (error) {
+    OnParsed(error);
+  } else {
+    OnParsed(ParseBuffered(&connection_->buffer, &*parser_));
+  }
+}
+
+void TargetAttempt::OnParsed(const ErrorCode& error) {
+  if (error && error != http::error::need_more) {
     Fail(AttemptFault::kMayHaveRun, absl::StrCat("receive: ", error.message()));
   } else if (!TakeBodyBytes()) {
     Fail(AttemptFault::kMayHaveRun,
@@ -133,7 +150,8 @@
     return;
   }
   if (is_interim) {
-    ReadResponse();
+    BeginResponse();
+    OnParsed(ParseBuffered(&connection_->buffer, &*parser_));
     return;
   }
   AttemptOutcome outcome;
--- a/modules/gg_entry/target_attempt.h
+++ b/modules/gg_entry/target_attempt.h
@@ -65,9 +65,12 @@
 
  private:
   void Send();
-  void ReadResponse();
+  void BeginResponse();
   void ReadSome();
-  void OnReadSome(const ErrorCode& error);
+  void OnReadSome(const ErrorCode& error, size_t count);
+  /** Continues after bytes were parsed.
+      @param error  http::error::need_more if the response isn't complete. */
+  void OnParsed(const ErrorCode& error);
   void OnResponse();
   /** Takes the bytes by which the body has grown from the budget. */
   bool TakeBodyBytes();
--- a/modules/gg_http/forwarder.cc
+++ b/modules/gg_http/forwarder.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "gg_core/errors.h"
+#include "gg_http/message_parsing.h"
 #include "gg_http/target_exchange.h"
 #include "gg_insight/event_log.h"
 #include "gg_insight/metrics.h"
@@ -174,8 +175,8 @@
   request.get().body().size = body.size();
   while (!error && !request.is_done()) {
     job->caller->stream.expires_after(kCallerIoTimeout);
-    co_await http::async_read(job->caller->stream, job->caller->buffer, request,
-                              Await(&error));
+    error = co_await ReadMessageBody(&job->caller->stream, &job->caller->buffer,
+                                     &request);
     if (error == http::error::need_buffer) error = {};
   }
   job->body = std::move(body);
--- /dev/null
+++ b/modules/gg_http/message_parsing.h
@@ -0,0 +1,106 @@
+#ifndef GG_HTTP_MESSAGE_PARSING_H_
+#define GG_HTTP_MESSAGE_PARSING_H_
+
+#include <boost/beast/core/read_size.hpp>
+#include <exception>
+
+#include "gg_http/http_types.h"
+
+namespace greengage {
+
+/** Runs one call of a parser. Beast throws for some messages that a peer can
+    send, such as a field of 64 KiB in a trailer, and asserts on others. Both
+    become an error, so that such a message ends its connection only.
+    @return the parser's error, or http::error::bad_value for an exception. */
+template <typename Call>
+ErrorCode CallParser(const Call& call) {
+  ErrorCode error;
+  try {
+    call(error);
+  } catch (const std::exception&) {
+    error = http::error::bad_value;
+  }
+  return error;
+}
+
+/** Passes buffered bytes to the parser until it needs more or is done.
+    @return http::error::need_more if bytes are missing. */
+template <typename Parser>
+ErrorCode ParseBuffered(beast::flat_buffer* buffer, Parser* parser) {
+  while (buffer->size() > 0 && !parser->is_done()) {
+    size_t used = 0;
+    const ErrorCode error = CallParser(
+        [&](ErrorCode& e) { used = parser->put(buffer->data(), e); });
+    buffer->consume(used);
+    if (error) return error;
+    if (used == 0) break;
+  }
+  if (parser->is_done()) return {};
+  return http::error::need_more;
+}
+
+/** Tells the parser that the peer has closed its sending side.
+    @return OK if the message is complete, http::error::end_of_stream if none
+            has begun. */
+template <typename Parser>
+ErrorCode ParseEndOfStream(Parser* parser) {
+  if (!parser->got_some()) return http::error::end_of_stream;
+  return CallParser([&](ErrorCode& e) { parser->put_eof(e); });
+}
+
+/** Reads from `stream` until the parser has made progress, as
+    http::async_read_some() does, but turns the parser's exceptions into errors.
+    @return http::error::need_buffer if the buffer of the body is full. */
+template <typename Stream, typename Parser>
+asio::awaitable<ErrorCode> ReadMessageSome(Stream* stream,
+                                           beast::flat_buffer* buffer,
+                                           Parser* parser) {
+  for (;;) {
+    ErrorCode error = http::error::need_more;
+    if (buffer->size() > 0) {
+      size_t used = 0;
+      error = CallParser(
+          [&](ErrorCode& e) { used = parser->put(buffer->data(), e); });
+      buffer->consume(used);
+    }
+    if (error != http::error::need_more) co_return error;
+    const size_t size = beast::read_size(*buffer, kBodyChunkBytes);
+    if (size == 0) co_return http::error::buffer_overflow;
+    error = {};
+    const size_t count =
+        co_await stream->async_read_some(buffer->prepare(size), Await(&error));
+    buffer->commit(count);
+    if (error == asio::error::eof) co_return ParseEndOfStream(parser);
+    if (error) co_return error;
+  }
+}
+
+/** Reads the header of a message; see ReadMessageSome(). */
+template <typename Stream, typename Parser>
+asio::awaitable<ErrorCode> ReadMessageHeader(Stream* stream,
+                                             beast::flat_buffer* buffer,
+                                             Parser* parser) {
+  parser->eager(false);
+  ErrorCode error;
+  while (!error && !parser->is_header_done()) {
+    error = co_await ReadMessageSome(stream, buffer, parser);
+  }
+  co_return error;
+}
+
+/** Reads the rest of a message; see ReadMessageSome(). */
+template <typename Stream, typename Parser>
+asio::awaitable<ErrorCode> ReadMessageBody(Stream* stream,
+                                           beast::flat_buffer* buffer,
+                                           Parser* parser) {
+  parser->eager(true);
+  ErrorCode error;
+  while (!error && !parser->is_done()) {
+    error = co_await ReadMessageSome(stream, buffer, parser);
+  }
+  co_return error;
+}
+
+}  // namespace greengage
+
+#endif  // GG_HTTP_MESSAGE_PARSING_H_
--- a/modules/gg_http/target_exchange.cc
+++ b/modules/gg_http/target_exchange.cc
@@ -6,6 +6,7 @@
 
 #include "gg_core/errors.h"
 #include "gg_http/header_policy.h"
+#include "gg_http/message_parsing.h"
 
 namespace greengage {
 namespace {
@@ -105,9 +106,8 @@
       parser_->skip(true);
     }
     ApplyDeadline();
-    co_await http::async_read_header(options_.target->stream,
-                                     options_.target->buffer, *parser_,
-                                     Await(&error));
+    error = co_await ReadMessageHeader(&options_.target->stream,
+                                       &options_.target->buffer, &*parser_);
     if (error) co_return MakeError(Step::kForwardReceive, error);
     const auto status = parser_->get().result();
     const bool is_interim =
@@ -255,8 +255,8 @@
     incoming.data = chunk.data();
     incoming.size = chunk.size();
     options_.caller->stream.expires_after(kCallerIoTimeout);
-    co_await http::async_read(options_.caller->stream, options_.caller->buffer,
-                              *options_.request, Await(&error));
+    error = co_await ReadMessageBody(
+        &options_.caller->stream, &options_.caller->buffer, options_.request);
     if (error == http::error::need_buffer) error = {};
     if (error) co_return MakeError(Step::kBodyRead, error);
     const size_t size_read = chunk.size() - incoming.size;
@@ -288,10 +288,8 @@
   body.data = read_buffer_.data();
   body.size = read_buffer_.size();
   ApplyDeadline();
-  ErrorCode error;
-  co_await http::async_read_some(options_.target->stream,
-                                 options_.target->buffer, *parser_,
-                                 Await(&error));
+  ErrorCode error = co_await ReadMessageSome(
+      &options_.target->stream, &options_.target->buffer, &*parser_);
   if (error == http::error::need_buffer) error = {};
   const size_t size_read = read_buffer_.size() - body.size;
   chunk->assign(read_buffer_.data(), size_read);
--- a/modules/gg_http/traffic_server.cc
+++ b/modules/gg_http/traffic_server.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "gg_core/errors.h"
+#include "gg_http/message_parsing.h"
 #include "gg_http/refusal_response.h"
 #include "gg_insight/event_log.h"
 
@@ -211,8 +212,8 @@
     request.body_limit(kUnlimitedBody);
     ErrorCode error;
     caller->stream.expires_after(options_.header_timeout);
-    co_await http::async_read_header(caller->stream, caller->buffer, request,
-                                     Await(&error));
+    error =
+        co_await ReadMessageHeader(&caller->stream, &caller->buffer, &request);
     if (error == http::error::end_of_stream || error == beast::error::timeout ||
         error == asio::error::operation_aborted) {
       co_return;
--- a/tests/entry/http_session_test.cc
+++ b/tests/entry/http_session_test.cc
@@ -1,3 +1,4 @@
+#include <thread>
 #include <vector>
 
 #include "gg_entry/http_listener.h"
@@ -93,6 +94,21 @@
   LONGS_EQUAL(0, listener.OpenConnections());
 }
 
+// A field of a trailer above Beast's limit of 64 KiB makes it throw.
+TEST(HttpSession, OddTrailerOfARequest_ClosesTheConnectionOnly) {
+  const std::string request =
+      "POST /order/ HTTP/1.1\r\nHost: shop\r\nTransfer-Encoding: chunked\r\n"
+      "\r\n2\r\nab\r\n0\r\nX-Pad: " +
+      std::string(70'000, 'a') + "\r\n\r\n";
+  std::thread writer([&] {
+    ErrorCode error;
+    asio::write(caller, asio::buffer(request), error);
+  });
+  RunEventLoop();
+  writer.join();
+  CHECK_TRUE(ReadResponse().starts_with("HTTP/1.1 400"));
+}
+
 TEST(HttpSession, IdleConnection_IsClosed) {
   listener.CloseIdle();
   STRCMP_EQUAL("", ReadResponse().c_str());
--- a/tests/entry/target_attempt_test.cc
+++ b/tests/entry/target_attempt_test.cc
@@ -1,5 +1,6 @@
 #include "gg_entry/target_attempt.h"
 
+#include "absl/strings/str_cat.h"
 #include "gg_http/http_types.h"
 #include "unit/test_support.h"
 
@@ -8,12 +9,13 @@
 
 constexpr char kAddress[] = "127.0.7.6:18210";
 
-/** Runs one attempt at a target that sends bytes without end. */
+/** Runs one attempt at a target that sends given bytes. */
 TEST_GROUP(TargetAttempt) {
   asio::io_context io;
   asio::ip::tcp::acceptor acceptor{io, *ParseEndpoint(kAddress)};
   ByteBudget response_budget{64 * 1024 * 1024};
   size_t sent_bytes = 0;
+  bool is_endless = true;
   std::optional<AttemptOutcome> outcome;
 
   /** Accepts one connection and writes `start`, then `repeated` until the
@@ -31,10 +33,45 @@
     }
   }
 
+  /** Accepts one connection, writes `parts` with pauses in between, and closes
+      the connection. */
+  asio::awaitable<void> ServeParts(std::vector<std::string> parts) {
+    ErrorCode error;
+    asio::ip::tcp::socket socket(io);
+    co_await acceptor.async_accept(socket, Await(&error));
+    for (const std::string& part : parts) {
+      co_await asio::async_write(socket, asio::buffer(part), Await(&error));
+      if (parts.size() > 1) co_await SleepFor(std::chrono::milliseconds(5));
+    }
+    // Closing with the request unread would reset the connection.
+    std::string request(1024, '\0');
+    co_await socket.async_read_some(asio::buffer(request), Await(&error));
+  }
+
+  /** Sends a request to a target that responds with `parts`. */
+  void RunParts(const std::vector<std::string>& parts) {
+    outcome.reset();
+    is_endless = false;
+    asio::co_spawn(io, ServeParts(parts), asio::detached);
+    RunAttempt();
+  }
+
+  /** Returns whether the target's bytes were taken for a response. */
+  bool IsResponse(const std::vector<std::string>& parts) {
+    RunParts(parts);
+    CHECK_TRUE(outcome.has_value());
+    return outcome->response.has_value();
+  }
+
   /** Sends a request to a target that responds with `start` and then with
       `repeated` without end. */
   void Run(const std::string& start, const std::string& repeated) {
     asio::co_spawn(io, ServeEndlessly(start, repeated), asio::detached);
+    RunAttempt();
+  }
+
+  void RunAttempt() {
+    io.restart();
     auto request =
         std::make_shared<TargetRequest>(http::verb::get, "/read/", 11);
     const auto attempt = std::make_shared<TargetAttempt>(TargetAttempt::Options{
@@ -52,7 +89,7 @@
       io.run_one_for(std::chrono::milliseconds(50));
     }
     attempt->Cancel();
-    io.run_for(std::chrono::milliseconds(100));
+    io.run_for(std::chrono::milliseconds(is_endless ? 100 : 1));
   }
 };
 
@@ -98,5 +135,61 @@
   CHECK_FALSE(outcome->response.has_value());
 }
 
+constexpr char kHead[] =
+    "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nUpstream-Stamp: stamp\r\n";
+
+// Reported by another operator: a target closed its connection in the middle of
+// the head, and callers got a 200 with a short body.
+TEST(TargetAttempt, HeadCutAtAnyByte_IsNoResponse) {
+  const std::string head = std::string(kHead) + "Connection: close\r\n\r\n";
+  for (size_t size = 0; size < head.size(); ++size) {
+    CHECK_FALSE(IsResponse({head.substr(0, size)}));
+    if (size > 1) {
+      CHECK_FALSE(IsResponse(
+          {head.substr(0, size / 2), head.substr(size / 2, size - size / 2)}));
+    }
+  }
+  CHECK_TRUE(IsResponse({head}));
+}
+
+TEST(TargetAttempt, FramedResponseCutAtAnyByte_IsNoResponse) {
+  for (const std::string& rest :
+       {std::string("Content-Length: 5\r\n\r\nhello"),
+        std::string("Transfer-Encoding: chunked\r\n\r\n5;x=y\r\nhello\r\n"
+                    "0;z\r\nX-Trailer: a\r\n\r\n")}) {
+    const std::string response = kHead + rest;
+    for (size_t size = 0; size < response.size(); ++size) {
+      CHECK_FALSE(IsResponse({response.substr(0, size)}));
+    }
+    CHECK_TRUE(IsResponse({response}));
+    STRCMP_EQUAL("hello", outcome->response->body().c_str());
+  }
+}
+
+TEST(TargetAttempt, ResponseSplitAtAnyByte_ArrivesWhole) {
+  const std::string response =
+      std::string(kHead) +
+      "Transfer-Encoding: chunked\r\n\r\n5;x=y\r\nhello\r\n0\r\n\r\n";
+  for (size_t size = 1; size < response.size(); ++size) {
+    CHECK_TRUE(IsResponse({response.substr(0, size), response.substr(size)}));
+    STRCMP_EQUAL("hello", outcome->response->body().c_str());
+  }
+}
+
+// Replays review/2: each of these ended the process.
+TEST(TargetAttempt, OddEndOfAChunkedResponse_FailsTheAttemptOnly) {
+  const std::string head =
+      std::string(kHead) + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string trailer = "X-Pad: " + std::string(70'000, 'a');
+  CHECK_FALSE(
+      IsResponse({head + "5\r\nhello\r\n0\r\n" + trailer + "\r\n\r\n"}));
+  CHECK_FALSE(IsResponse({head + "0\r\n", "\r"}));
+  CHECK_FALSE(IsResponse({head, "0", "\r", "\n", "\r"}));
+  CHECK_FALSE(
+      IsResponse({head + "5;x=" + std::string(70'000, 'a') + "\r\nhel"}));
+  CHECK_FALSE(IsResponse({head + "fffffffffffffffff\r\nhello"}));
+  CHECK_FALSE(IsResponse({head + "-5\r\nhello\r\n"}));
+}
+
 }  // namespace
 }  // namespace greengage
--- /dev/null
+++ b/tests/entry/target_exchange_test.cc
@@ -0,0 +1,111 @@
+// Responses that greengaged must not take for complete ones.
+
+#include "gg_http/target_exchange.h"
+
+#include <thread>
+
+#include "unit/test_support.h"
+
+namespace greengage {
+namespace {
+
+constexpr char kTargetAddress[] = "127.0.7.6:18213";
+constexpr char kCallerAddress[] = "127.0.7.6:18214";
+
+constexpr char kHead[] = "HTTP/1.1 200 OK\r\nX-Stamp: stamp\r\n";
+
+/** Runs exchanges with a target that sends given bytes and closes. */
+TEST_GROUP(TargetExchange) {
+  asio::io_context io;
+  asio::ip::tcp::acceptor target_acceptor{io, *ParseEndpoint(kTargetAddress)};
+  asio::ip::tcp::acceptor caller_acceptor{io, *ParseEndpoint(kCallerAddress)};
+  absl::Status status;
+  int response_status = 0;
+  std::string body;
+
+  asio::awaitable<void> ServeTarget(std::vector<std::string> parts) {
+    ErrorCode error;
+    asio::ip::tcp::socket socket(io);
+    co_await target_acceptor.async_accept(socket, Await(&error));
+    std::string request(1024, '\0');
+    co_await socket.async_read_some(asio::buffer(request), Await(&error));
+    for (const std::string& part : parts) {
+      co_await asio::async_write(socket, asio::buffer(part), Await(&error));
+      if (parts.size() > 1) co_await SleepFor(std::chrono::milliseconds(5));
+    }
+  }
+
+  asio::awaitable<void> RunExchange() {
+    ErrorCode error;
+    asio::ip::tcp::socket caller_side(io);
+    caller_side.connect(*ParseEndpoint(kCallerAddress));
+    CallerConnection caller(caller_acceptor.accept());
+    asio::write(caller_side,
+                asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+    RequestParser request;
+    co_await http::async_read_header(caller.stream, caller.buffer, request,
+                                     Await(&error));
+    TargetConnection target(io.get_executor());
+    co_await target.stream.async_connect(*ParseEndpoint(kTargetAddress),
+                                         Await(&error));
+    const std::string no_body;
+    TargetExchange exchange({.caller = &caller,
+                             .request = &request,
+                             .target = &target,
+                             .buffered_request_body = &no_body,
+                             .cancels_on_disconnect = false});
+    status = co_await exchange.SendRequest();
+    if (status.ok()) status = co_await exchange.ReadResponseHeader();
+    if (status.ok()) status = co_await exchange.BufferResponseBody();
+    if (!status.ok()) co_return;
+    response_status = static_cast<int>(exchange.response().result_int());
+    body = exchange.buffered_body();
+  }
+
+  /** Returns whether the target's bytes were taken for a complete response. */
+  bool IsResponse(const std::vector<std::string>& parts) {
+    status = absl::InternalError("not run");
+    io.restart();
+    asio::co_spawn(io, ServeTarget(parts), asio::detached);
+    asio::co_spawn(io, RunExchange(), asio::detached);
+    io.run_for(std::chrono::seconds(5));
+    return status.ok();
+  }
+};
+
+// Reported by another operator: a target closed its connection in the middle of
+// the head, and callers got a 200 with a short body.
+TEST(TargetExchange, ResponseCutAtAnyByte_IsNoResponse) {
+  for (const std::string& rest :
+       {std::string("Content-Length: 5\r\n\r\nhello"),
+        std::string("Transfer-Encoding: chunked\r\n\r\n5;x=y\r\nhello\r\n"
+                    "0;z\r\nX-Trailer: a\r\n\r\n")}) {
+    const std::string response = kHead + rest;
+    for (size_t size = 0; size < response.size(); ++size) {
+      CHECK_FALSE(IsResponse({response.substr(0, size)}));
+    }
+    CHECK_TRUE(IsResponse({response}));
+    STRCMP_EQUAL("hello", body.c_str());
+  }
+}
+
+TEST(TargetExchange, HeadCutAtAnyByte_IsNoResponse) {
+  const std::string head = std::string(kHead) + "Connection: close\r\n\r\n";
+  for (size_t size = 0; size < head.size(); ++size) {
+    CHECK_FALSE(IsResponse({head.substr(0, size)}));
+  }
+  CHECK_TRUE(IsResponse({head}));
+}
+
+// As review/2 on greengage_entry: each of these ended the process.
+TEST(TargetExchange, OddEndOfAChunkedResponse_FailsTheExchangeOnly) {
+  const std::string head =
+      std::string(kHead) + "Transfer-Encoding: chunked\r\n\r\n";
+  CHECK_FALSE(IsResponse({head + "5\r\nhello\r\n0\r\nX-Pad: " +
+                          std::string(70'000, 'a') + "\r\n\r\n"}));
+  CHECK_FALSE(IsResponse({head + "0\r\n", "\r"}));
+  CHECK_FALSE(IsResponse({head, "0", "\r", "\n", "\r"}));
+}
+
+}  // namespace
+}  // namespace greengage
