Recognise every interim response by its number

Cause: the class of a status came from Beast's enumeration, which knows 100 to 102 only; 103, 110 and 199 failed, 100 and 102 did not. greengaged and IsBodyless() had the same fault. The class is now computed from the number. An unasked 101 fails the attempt.

TargetAttempt.InterimResponses and UnaskedSwitchOfProtocols fail without the change.

--- a/modules/gg_entry/forwarded_request.cc
+++ b/modules/gg_entry/forwarded_request.cc
@@ -546,7 +546,7 @@
   const bool is_head = request_.method() == http::verb::head;
   if (is_head) {
     if (!length.empty()) out.set(http::field::content_length, length);
-  } else if (!IsBodyless(response.result())) {
+  } else if (!IsBodyless(response.result_int())) {
     out.body() = std::move(response.body());
     out.content_length(out.body().size());
   }
--- a/modules/gg_entry/target_attempt.cc
+++ b/modules/gg_entry/target_attempt.cc
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>
 
 #include "absl/strings/str_cat.h"
+#include "gg_http/header_policy.h"
 #include "gg_http/message_parsing.h"
 
 namespace greengage {
@@ -143,8 +144,13 @@
 }
 
 void TargetAttempt::OnResponse() {
-  const bool is_interim = http::to_status_class(parser_->get().result()) ==
-                          http::status_class::informational;
+  const unsigned status = parser_->get().result_int();
+  if (status == kSwitchingProtocols) {
+    Fail(AttemptFault::kMayHaveRun,
+         "receive: the target switched protocols unasked");
+    return;
+  }
+  const bool is_interim = IsInterim(status);
   if (is_interim && ++interim_response_count_ > kMaxInterimResponses) {
     Fail(AttemptFault::kMayHaveRun, "receive: too many interim responses");
     return;
--- a/modules/gg_http/header_policy.cc
+++ b/modules/gg_http/header_policy.cc
@@ -43,10 +43,12 @@
   }
 }
 
-bool IsBodyless(http::status status) {
-  return http::to_status_class(status) == http::status_class::informational ||
-         status == http::status::no_content ||
-         status == http::status::not_modified;
+bool IsInterim(unsigned status) { return status / 100 == 1; }
+
+bool IsBodyless(unsigned status) {
+  return IsInterim(status) ||
+         status == static_cast<unsigned>(http::status::no_content) ||
+         status == static_cast<unsigned>(http::status::not_modified);
 }
 
 }  // namespace greengage
--- a/modules/gg_http/target_exchange.cc
+++ b/modules/gg_http/target_exchange.cc
@@ -109,9 +109,13 @@
     error = co_await ReadMessageHeader(&options_.target->stream,
                                        &options_.target->buffer, &*parser_);
     if (error) co_return MakeError(Step::kForwardReceive, error);
-    const auto status = parser_->get().result();
-    const bool is_interim =
-        http::to_status_class(status) == http::status_class::informational;
+    const unsigned status = parser_->get().result_int();
+    if (status == kSwitchingProtocols) {
+      co_return StepError(absl::StatusCode::kUnknown, Step::kForwardReceive,
+                          options_.target->address,
+                          "the target switched protocols unasked");
+    }
+    const bool is_interim = IsInterim(status);
     has_stale_response_ =
         !is_interim && options_.is_reused_connection && !RepeatsAttemptId();
     if (has_stale_response_) {
@@ -348,7 +352,7 @@
 
 bool TargetExchange::ResponseHasBody() const {
   return options_.request->get().method() != http::verb::head &&
-         !IsBodyless(parser_->get().result());
+         !IsBodyless(parser_->get().result_int());
 }
 
 bool TargetExchange::RepeatsAttemptId() const {
--- a/tests/entry/target_attempt_test.cc
+++ b/tests/entry/target_attempt_test.cc
@@ -191,5 +191,32 @@
   CHECK_FALSE(IsResponse({head + "-5\r\nhello\r\n"}));
 }
 
+// Replays review/4: a 103 was passed on as the answer.
+TEST(TargetAttempt, InterimResponses_AreFollowedByTheResponse) {
+  const std::string response = std::string(kHead) +
+                               "Content-Length: 5\r\n\r\n"
+                               "hello";
+  for (const char* status : {"100", "102", "103", "110", "199"}) {
+    const std::string interim = absl::StrCat("HTTP/1.1 ", status, " Wait\r\n");
+    for (const std::string& head :
+         {interim + "\r\n",
+          interim + "Request-Id: id-1\r\nLink: <x>\r\n\r\n"}) {
+      CHECK_TRUE(IsResponse({head + head + response}));
+      LONGS_EQUAL(200, outcome->response->result_int());
+      CHECK_TRUE(IsResponse({head, head, response}));
+      STRCMP_EQUAL("hello", outcome->response->body().c_str());
+      CHECK_FALSE(IsResponse({head}));
+    }
+  }
+}
+
+TEST(TargetAttempt, UnaskedSwitchOfProtocols_FailsTheAttempt) {
+  CHECK_FALSE(
+      IsResponse({"HTTP/1.1 101 Switching Protocols\r\n"
+                  "Upgrade: other\r\n\r\n",
+                  std::string(kHead) + "Content-Length: 0\r\n\r\n"}));
+  CHECK_TRUE(outcome->fault == AttemptFault::kMayHaveRun);
+}
+
 }  // namespace
 }  // namespace greengage
--- a/tests/entry/target_exchange_test.cc
+++ b/tests/entry/target_exchange_test.cc
@@ -107,5 +107,21 @@
   CHECK_FALSE(IsResponse({head, "0", "\r", "\n", "\r"}));
 }
 
+// As review/4 on greengage_entry: a 103 was passed on as the answer.
+TEST(TargetExchange, InterimResponses_AreFollowedByTheResponse) {
+  const std::string response =
+      std::string(kHead) + "Content-Length: 5\r\n\r\nhello";
+  for (const char* interim_status : {"100", "103", "199"}) {
+    const std::string interim =
+        std::string("HTTP/1.1 ") + interim_status + " Wait\r\n\r\n";
+    CHECK_TRUE(IsResponse({interim + interim + response}));
+    LONGS_EQUAL(200, response_status);
+    CHECK_TRUE(IsResponse({interim, response}));
+    CHECK_FALSE(IsResponse({interim}));
+  }
+  CHECK_FALSE(
+      IsResponse({"HTTP/1.1 101 Switching Protocols\r\n\r\n" + response}));
+}
+
 }  // namespace
 }  // namespace greengage
