Read a connection into memory that no parser moves

Cause: a read was outstanding into memory of the flat_buffer that parsing the next buffered request consumed; the buffer moved its ends, and the read was committed at another place than it had been written to. The second request runs again only when the third arrives, which fits nothing else.

ConnectionInput keeps reads and unparsed bytes apart. Reading ahead now stops at 64 KiB also when a complete request was buffered.

--- a/modules/gg_entry/http_session.cc
+++ b/modules/gg_entry/http_session.cc
@@ -11,8 +11,6 @@
 
 TimePoint Now() { return std::chrono::steady_clock::now(); }
 
-constexpr size_t kReadChunkBytes = 16 * 1024;
-
 /** Bytes of the next request that are buffered while one is handled. Reading
     stops at this limit. */
 constexpr size_t kMaxReadAheadBytes = 64 * 1024;
@@ -50,7 +48,7 @@
   parser_->eager(true);
   parser_->header_limit(limits.max_header_bytes);
   parser_->body_limit(limits.max_body_bytes);
-  if (buffer_.size() > 0) {
+  if (input_.size() > 0) {
     phase_ = Phase::kReading;
     request_began_at_ = last_read_at_ = Now();
     Parse();
@@ -63,7 +61,7 @@
   if (is_read_pending_ || phase_ == Phase::kClosed) return;
   is_read_pending_ = true;
   socket_.async_read_some(
-      buffer_.prepare(kReadChunkBytes),
+      input_.read_area(),
       [self = shared_from_this()](const ErrorCode& error, size_t count) {
         self->OnRead(error, count);
       });
@@ -87,7 +85,7 @@
     Read();
     return;
   }
-  buffer_.commit(count);
+  input_.Append(count);
   last_read_at_ = Now();
   if (phase_ == Phase::kIdle) {
     phase_ = Phase::kReading;
@@ -96,13 +94,13 @@
   }
   if (phase_ == Phase::kReading) {
     Parse();
-  } else if (buffer_.size() < kMaxReadAheadBytes) {
+  } else if (input_.size() < kMaxReadAheadBytes) {
     Read();
   }
 }
 
 void HttpSession::Parse() {
-  const ErrorCode error = ParseBuffered(&buffer_, &*parser_);
+  const ErrorCode error = ParseBuffered(&input_.unparsed(), &*parser_);
   if (error && error != http::error::need_more) {
     OnParseError(error);
     return;
@@ -123,7 +121,7 @@
   }
   const size_t max_unparsed_bytes =
       std::max<size_t>(kMaxUnparsedBytes, options_.limits().max_header_bytes);
-  if (buffer_.size() > max_unparsed_bytes) {
+  if (input_.size() > max_unparsed_bytes) {
     RespondAndClose(http::status::bad_request);
     return;
   }
@@ -136,7 +134,7 @@
   keep_alive_ = parser_->keep_alive();
   SessionRequest request = parser_->release();
   is_head_request_ = request.method() == http::verb::head;
-  Read();
+  if (input_.size() < kMaxReadAheadBytes) Read();
   options_.handler(shared_from_this(), std::move(request));
 }
 
@@ -201,7 +199,7 @@
 void HttpSession::Linger() {
   phase_ = Phase::kLingering;
   phase_began_at_ = Now();
-  buffer_.clear();
+  input_.Clear();
   ErrorCode ignored;
   socket_.shutdown(asio::socket_base::shutdown_send, ignored);
   Read();
--- a/modules/gg_entry/http_session.h
+++ b/modules/gg_entry/http_session.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "gg_core/time.h"
+#include "gg_entry/connection_input.h"
 #include "gg_fleet/fleet_config.h"
 #include "gg_http/http_types.h"
 
@@ -90,6 +91,9 @@
       they were read later. */
   TimePoint request_began_at() const { return request_began_at_; }
 
+  /** Number of bytes that were read ahead of the requests handled so far. */
+  size_t buffered_bytes() const { return input_.size(); }
+
   /** Address of the caller, "ip:port". */
   const std::string& peer() const { return peer_; }
 
@@ -117,7 +121,7 @@
   asio::ip::tcp::socket socket_;
   Options options_;
   std::string peer_;
-  beast::flat_buffer buffer_;
+  ConnectionInput input_;
   std::optional<http::request_parser<http::string_body>> parser_;
   std::optional<SessionResponse> response_;
   std::function<void()> on_caller_gone_;
