Pipelining test: record how far the daemon reads ahead

The hook that records it was missing, so that the test failed since it was added. Without the limit in HttpSession::OnParsed it now fails, with it it passes.

--- a/tests/entry/pipelining_test.cc
+++ b/tests/entry/pipelining_test.cc
@@ -1,5 +1,6 @@
 // Requests that callers send before they have the response to the one before.
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,8 @@
   void Handle(const HttpSessionPtr& session, SessionRequest request) {
     handled.push_back(
         absl::StrCat(std::string(FromBeast(request.target())), request.body()));
+    max_buffered_bytes =
+        std::max(max_buffered_bytes, session->buffered_bytes());
     auto timer =
         std::make_shared<asio::steady_timer>(io, std::chrono::milliseconds(1));
     timer->async_wait(
