--- a/tests/soak/entry_soak.cc
+++ b/tests/soak/entry_soak.cc
@@ -8,7 +8,9 @@
 //   - after the faults every daemon becomes ready, has the newest configuration
 //     and serves requests;
 //   - a target that has left gets no requests after the maximum drain time;
-//   - a planned stop without faults interrupts no request;
+//   - a planned stop without faults interrupts no request, also if callers use
+//     their connections until the process is gone;
+//   - of two requests sent ahead, each gets its own response;
 //   - nothing is sent for callers that left before their requests were read,
 //   and
 //     a read ends at its target when its caller leaves.
@@ -19,6 +21,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <sstream>
 
 #include "absl/strings/str_cat.h"
 #include "scenario_runner/process.h"
@@ -57,6 +60,9 @@
 constexpr Duration kRateLimitWindow = std::chrono::seconds(4);
 constexpr Duration kRateLimitSettleTime = std::chrono::seconds(3);
 
+/** Time from SIGTERM within which a host must exit; the grace time is 3 s. */
+constexpr Duration kMaxStopTime = std::chrono::seconds(4);
+
 /** Time limit of every route. */
 constexpr int kTimeLimitMs = 600;
 
@@ -120,6 +126,7 @@
     CheckCallerDeparture();
     CheckTargetDeparture();
     CheckPlannedStops();
+    CheckRequestsLateInAStop();
     is_finished_ = true;
     for (std::thread& caller : callers) caller.join();
     for (Host& host : hosts_) scenario::KillProcess(&host.process);
@@ -252,6 +259,9 @@
              .fail = random_.NextDouble() * 0.1,
              .truncate = random_.NextDouble() * 0.1,
              .wrong_request_id = random_.NextDouble() * 0.1,
+             .cut_head = random_.NextDouble() * 0.05,
+             .odd_trailer = random_.NextDouble() * 0.05,
+             .early_hints = random_.NextDouble() * 0.1,
              .work_ms = static_cast<int>(random_.NextBelow(80))});
         break;
       case 12:
@@ -342,6 +352,12 @@
         setsockopt(connection->socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO,
                    &receive_timeout, sizeof(receive_timeout));
       }
+      if (random.NextBelow(10) == 0) {
+        SendTwoAhead(absl::StrCat("c", caller, "-", ++request_count),
+                     connection.get());
+        connection.reset();
+        continue;
+      }
       const bool is_order = random.NextBelow(2) == 0;
       const std::string id = absl::StrCat("c", caller, "-", ++request_count);
       const RequestResult result = SendRequest(
@@ -397,6 +413,35 @@
     return result;
   }
 
+  /** Sends two orders together. Checks that the responses are to them, in
+      order. */
+  void SendTwoAhead(const std::string& id, Connection* connection) {
+    const std::string ids[] = {id + "-a", id + "-b"};
+    ErrorCode error;
+    std::ostringstream text;
+    for (const std::string& each : ids) text << MakeRequest(each, true);
+    asio::write(connection->socket, asio::buffer(text.str()), error);
+    for (const std::string& each : ids) {
+      RequestResult result{.id = each, .is_order = true};
+      http::response<http::string_body> response;
+      if (!error) {
+        http::read(connection->socket, connection->buffer, response, error);
+      }
+      if (!error) {
+        result.status = static_cast<int>(response.result_int());
+        result.is_complete =
+            response.body().starts_with(absl::StrCat("whole ", each, " of t-"));
+        const auto answered_id = response["Request-Id"];
+        if (!answered_id.empty() && answered_id != each) {
+          ReportViolation("answered with the response to another request: " +
+                          each);
+        }
+      }
+      const std::lock_guard lock(mutex_);
+      results_.push_back(result);
+    }
+  }
+
   //============================================================================
   /** Returns the status of the response to a GET, or 0 if there is none. */
   int FetchStatus(const std::string& address, const std::string& path) {
@@ -560,6 +605,87 @@
     }
   }
 
+  /** Stops the last host while callers send long orders on open and on new
+      connections until its process is gone. Checks that every order that ran
+      got its response. */
+  void CheckRequestsLateInAStop() {
+    constexpr int kWorkMs = 1300;
+    constexpr int kOrderCount = 45;
+    constexpr int kPauseMs = 60;
+    Host& host = hosts_[0];
+    PutConfig(2 * kWorkMs);
+    Sleep(1000);
+    platform_.SetFaults({.work_ms = kWorkMs});
+    std::vector<std::unique_ptr<Connection>> connections;
+    for (int i = 0; i < kOrderCount; ++i) {
+      connections.push_back(
+          BeginRequest(host, false, absl::StrCat("warm-", i)));
+    }
+    for (const auto& connection : connections) ReadStatus(connection.get());
+    const TimePoint signalled_at = Now();
+    Signal(&host, SIGTERM);
+    host.is_stopping = true;
+    std::vector<std::thread> callers;
+    std::vector<int> statuses(kOrderCount, -1);  // -1: not sent
+    for (int i = 0; i < kOrderCount; ++i) {
+      callers.emplace_back([&, i] {
+        Sleep(i * kPauseMs);
+        statuses[i] =
+            SendLateOrder(host, absl::StrCat("late-", i),
+                          i % 2 == 0 ? connections[i].get() : nullptr);
+      });
+    }
+    for (std::thread& caller : callers) caller.join();
+    WaitForExit(&host, signalled_at + kMaxStopTime);
+    platform_.SetFaults({});
+    int served_count = 0;
+    int refused_count = 0;
+    for (int i = 0; i < kOrderCount; ++i) {
+      const std::string id = absl::StrCat("late-", i);
+      served_count += statuses[i] == 200 ? 1 : 0;
+      refused_count += statuses[i] == 503 ? 1 : 0;
+      if (statuses[i] <= 0 && HasRun(id)) {
+        ReportViolation("cut by a planned stop: " + id);
+      }
+      if (statuses[i] == 503 && HasRun(id)) {
+        ReportViolation("refused as not run, but it ran: " + id);
+      }
+    }
+    Print(absl::StrCat("late orders=", kOrderCount, " served=", served_count,
+                       " refused=", refused_count));
+  }
+
+  /** Checks that a host that was sent SIGTERM exits by `end`. */
+  void WaitForExit(Host* host, TimePoint end) {
+    scenario::ReapProcess(&host->process);
+    while (!host->process.exit_code && Now() < end) {
+      Sleep(20);
+      scenario::ReapProcess(&host->process);
+    }
+    if (!host->process.exit_code) ReportViolation(host->name + " did not stop");
+  }
+
+  /** Sends an order on an open connection, or on a new one if that is nullptr.
+      @return the status; 0 if there was no response. */
+  int SendLateOrder(const Host& host, const std::string& id,
+                    Connection* connection) {
+    Connection new_connection;
+    ErrorCode error;
+    if (connection == nullptr) {
+      connection = &new_connection;
+      connection->socket.connect(*ParseEndpoint(host.ip + ":18080"), error);
+    }
+    if (!error) http::write(connection->socket, MakeRequest(id, true), error);
+    return error ? 0 : ReadStatus(connection);
+  }
+
+  static int ReadStatus(Connection* connection) {
+    ErrorCode error;
+    http::response<http::string_body> response;
+    http::read(connection->socket, connection->buffer, response, error);
+    return error ? 0 : static_cast<int>(response.result_int());
+  }
+
   bool HasRun(const std::string& id) const {
     return platform_.RunCount(id) > 0;
   }
--- a/tests/standins/platform_standin.cc
+++ b/tests/standins/platform_standin.cc
@@ -436,6 +436,9 @@
   if (sample < (threshold += faults_.fail)) return "fail";
   if (sample < (threshold += faults_.truncate)) return "truncate";
   if (sample < (threshold += faults_.wrong_request_id)) return "cross";
+  if (sample < (threshold += faults_.cut_head)) return "cut_head";
+  if (sample < (threshold += faults_.odd_trailer)) return "odd_trailer";
+  if (sample < (threshold += faults_.early_hints)) return "early_hints";
   return {};
 }
 
@@ -515,6 +518,26 @@
     ErrorCode error;
     co_await http::async_write(connection->stream, interim, Await(&error));
   }
+  if (behaviour == "early_hints") {
+    const std::string interim =
+        "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n";
+    ErrorCode error;
+    co_await asio::async_write(connection->stream, asio::buffer(interim),
+                               Await(&error));
+  }
+  if (behaviour == "cut_head" || behaviour == "odd_trailer") {
+    std::string bytes =
+        absl::StrCat("HTTP/1.1 200 OK\r\nRequest-Id: ", request_id,
+                     "\r\nUpstream-Stamp: stamp\r\n");
+    if (behaviour == "odd_trailer") {
+      absl::StrAppend(&bytes, "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Pad: ",
+                      std::string(70'000, 'a'), "\r\n\r\n");
+    }
+    ErrorCode error;
+    co_await asio::async_write(connection->stream, asio::buffer(bytes),
+                               Await(&error));
+    co_return false;
+  }
   response.body() = absl::StrCat("whole ", request_id, " of ", id);
   response.set("Upstream-Load", "1,0,8");
   if (behaviour != "unsigned") response.set("Upstream-Stamp", "stamp-" + id);
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -24,8 +24,11 @@
   double fail = 0;         // run the request and respond with status 500
   double truncate = 0;     // run the request and send an incomplete response
   double wrong_request_id = 0;  // respond with the ID of another request
-  int work_ms = 2;              // time to process a request
-  double rate_limit = 0;        // named in every response, per second; 0: none
+  double cut_head = 0;     // run the request, then stop in the response's head
+  double odd_trailer = 0;  // respond with a trailer field of 70,000 bytes
+  double early_hints = 0;  // send a response with status 103 first
+  int work_ms = 2;         // time to process a request
+  double rate_limit = 0;   // named in every response, per second; 0: none
   /** Each response is preceded by the previous one of the connection. */
   bool repeats_responses = false;
   /** Value of the Retry-After field of refusals; empty: none. */
@@ -39,7 +42,8 @@
     The last segment of a request's path selects how the target behaves: lose,
     shed, unstated (refuses without saying that it did not run it), fail,
     truncate, cross, unsigned, encoded, extra, unframed, interim (sends an
-    interim response first), or slow (takes 3 s). With an empty segment the
+    interim response first), early_hints, cut_head, odd_trailer, or slow (takes
+    3 s). With an empty segment the
    behaviour is drawn according to SetFaults().
  */
 class PlatformStandin {
