--- a/tests/soak/entry_soak.cc
+++ b/tests/soak/entry_soak.cc
@@ -89,6 +89,28 @@
   std::atomic<bool> is_stopping = false;
 };
 
+/** Returns state, kernel function and processor of each thread of a process
+   that should have ended. */
+std::string DescribeThreads(pid_t pid) {
+  std::string text;
+  std::error_code error;
+  const std::string folder = absl::StrCat("/proc/", pid, "/task");
+  for (const auto& task : std::filesystem::directory_iterator(folder, error)) {
+    std::string stat;
+    std::string function;
+    std::getline(std::ifstream(task.path() / "stat"), stat);
+    std::getline(std::ifstream(task.path() / "wchan"), function);
+    std::istringstream fields(stat.substr(stat.rfind(')') + 1));
+    std::string state;
+    std::string processor;
+    fields >> state;
+    for (int i = 4; i <= 39; ++i) fields >> processor;
+    absl::StrAppend(&text, " ", task.path().filename().string(), "=", state,
+                    ",", function, ",cpu", processor);
+  }
+  return text;
+}
+
 /** What a caller observed of one request. */
 struct RequestResult {
   std::string id;
@@ -593,7 +615,8 @@
         Sleep(100);
       }
       if (!hosts_[i].process.exit_code) {
-        ReportViolation(hosts_[i].name + " did not stop");
+        ReportViolation(hosts_[i].name + " did not stop:" +
+                        DescribeThreads(hosts_[i].process.pid));
       }
     }
     const std::lock_guard lock(mutex_);
@@ -662,7 +685,10 @@
       Sleep(20);
       scenario::ReapProcess(&host->process);
     }
-    if (!host->process.exit_code) ReportViolation(host->name + " did not stop");
+    if (!host->process.exit_code) {
+      ReportViolation(host->name +
+                      " did not stop:" + DescribeThreads(host->process.pid));
+    }
   }
 
   /** Sends an order on an open connection, or on a new one if that is nullptr.
