Log and count messages that can't be read

E603 names peer, step and reason of each message of a caller or target that the entry daemon can't read, and greengage_odd_messages_total counts them. Before, a caller's left no line, and a target's only an E621 among other failures.

--- a/modules/gg_core/event.cc
+++ b/modules/gg_core/event.cc
@@ -64,6 +64,7 @@
       {Event::kRequestRefused, "request_refused"},
       {Event::kRequestFailed, "request_failed"},
       {Event::kInternalError, "internal_error"},
+      {Event::kMessageRefused, "message_refused"},
       {Event::kTargetEjected, "target_ejected"},
       {Event::kTargetRestored, "target_restored"},
       {Event::kTargetRateLimited, "target_rate_limited"},
--- a/modules/gg_core/event.h
+++ b/modules/gg_core/event.h
@@ -59,6 +59,7 @@
   kRequestRefused = 600,
   kRequestFailed = 601,
   kInternalError = 602,
+  kMessageRefused = 603,
   kTargetEjected = 610,
   kTargetRestored = 611,
   kTargetRateLimited = 612,
--- a/modules/gg_entry/entry_daemon.cc
+++ b/modules/gg_entry/entry_daemon.cc
@@ -179,7 +179,12 @@
             .handler = std::move(handler),
             .limits = [this] { return traffic.limits(); },
             .max_sessions = static_cast<size_t>(std::max<int64_t>(
-                settings.max_file_descriptors - kReservedDescriptors, 100))};
+                settings.max_file_descriptors - kReservedDescriptors, 100)),
+            .on_odd_message =
+                [this] {
+                  metrics.IncrementCounter("greengage_odd_messages_total",
+                                           "side=\"caller\"");
+                }};
   }
 
   bool IsReady() const { return !is_stopping && traffic.routes() != nullptr; }
--- a/modules/gg_entry/forwarded_request.cc
+++ b/modules/gg_entry/forwarded_request.cc
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 
-#include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
+#include "gg_entry/target_report_recorder.h"
 #include "gg_http/header_policy.h"
 #include "gg_insight/event_log.h"
 #include "gg_insight/metrics.h"
@@ -275,6 +275,10 @@
                         " id=", caller_fields_.request_id));
 }
 
+TargetReportRecorder ForwardedRequest::ReportRecorder() const {
+  return {traffic_, target_row_, caller_fields_.request_id};
+}
+
 ResponseVerdict ForwardedRequest::AcceptResponse(AttemptOutcome* outcome,
                                                  TimePoint now) {
   const TargetResponse& response = *outcome->response;
@@ -287,11 +291,12 @@
                      .is_reused_connection = outcome->used_pooled_connection});
   // Responses are out of order: the connection is not reused.
   if (verdict.kind == ResponseKind::kStray) return verdict;
-  if (!fields.is_misdirected) RecordNotices(fields, now);
+  const TargetReportRecorder recorder = ReportRecorder();
+  if (!fields.is_misdirected) recorder.RecordNotices(fields, now);
   if (fields.load) {
     traffic_->board().RecordReportedLoad(target_row_, *fields.load, now);
   }
-  RecordRateLimit(fields, verdict.kind == ResponseKind::kAnswer, now);
+  recorder.RecordRateLimit(fields, verdict.kind == ResponseKind::kAnswer, now);
   if (outcome->reusable_connection != nullptr) {
     traffic_->idle_connections().Put(
         TargetKey(), std::move(outcome->reusable_connection),
@@ -313,64 +318,6 @@
           verdict.reason, now);
 }
 
-void ForwardedRequest::RecordNotices(const TargetFields& fields,
-                                     TimePoint now) {
-  const TargetStatus& row = traffic_->board().row(target_row_);
-  const auto log = [&](LogLevel level, Event event, const std::string& text) {
-    LogEvent(level, event,
-             absl::StrCat("target=", row.target.record.id, text,
-                          " id=", caller_fields_.request_id));
-  };
-  const auto count = [&](const char* notice) {
-    traffic_->options().metrics->IncrementCounter(
-        "greengage_target_notices_total",
-        absl::StrCat("notice=\"", notice, "\""));
-  };
-  if (fields.is_leaving && traffic_->board().RecordLeaving(target_row_, now)) {
-    traffic_->idle_connections().CloseAll(row.key);
-    log(LogLevel::kInfo, Event::kTargetLeaving,
-        absl::StrCat(" address=", row.target.record.address,
-                     " incarnation=", row.target.record.incarnation_ms));
-    count("leaving");
-  }
-  if (fields.pause &&
-      traffic_->board().RecordPause(target_row_, *fields.pause, now)) {
-    log(LogLevel::kInfo, Event::kTargetPaused,
-        absl::StrCat(" pause_ms=", Milliseconds(*fields.pause)));
-    count("pause");
-  }
-  if (!fields.invalid_pause.empty()) {
-    log(LogLevel::kWarning, Event::kTargetPauseInvalid,
-        absl::StrCat(" value=\"", absl::CHexEscape(fields.invalid_pause),
-                     "\""));
-  }
-}
-
-void ForwardedRequest::RecordRateLimit(const TargetFields& fields,
-                                       bool is_accepted, TimePoint now) {
-  // Another target has the address now; its answer tells nothing of this one.
-  if (fields.is_misdirected) return;
-  const TargetStatus& row = traffic_->board().row(target_row_);
-  if (!fields.invalid_rate_limit.empty()) {
-    LogEvent(LogLevel::kWarning, Event::kTargetRateLimitInvalid,
-             absl::StrCat("target=", row.target.record.id, " value=\"",
-                          absl::CHexEscape(fields.invalid_rate_limit), "\""));
-    return;
-  }
-  if (!fields.rate_limit && !is_accepted) return;
-  const auto previous = traffic_->rate_limiter().RecordResponse(
-      row.key_hash, fields.rate_limit, now);
-  if (previous == fields.rate_limit) return;
-  LogEvent(LogLevel::kInfo,
-           fields.rate_limit ? Event::kTargetRateLimited
-                             : Event::kTargetRateLimitEnded,
-           absl::StrCat("target=", row.target.record.id,
-                        " limit=", fields.rate_limit.value_or(0),
-                        " previous=", previous.value_or(0), " fleet_sends=",
-                        traffic_->rate_limiter().FleetSends(row.key_hash, now),
-                        " id=", caller_fields_.request_id));
-}
-
 void ForwardedRequest::OnOutcome(AttemptOutcome outcome) {
   const TimePoint now = Now();
   const std::shared_ptr<TargetAttempt> ended = std::move(attempt_);
@@ -383,6 +330,9 @@
     AttemptEnd end = AttemptEnd::kUnreachable;
     if (outcome.is_connection_refused) end = AttemptEnd::kRefused;
     if (ended->is_sent()) end = AttemptEnd::kFailed;
+    if (outcome.is_odd_message) {
+      ReportRecorder().RecordOddMessage(outcome.reason);
+    }
     EndAttempt(end, 0, now);
     // The other idle connections to this target may be broken as well.
     if (ended->uses_pooled_connection()) {
--- a/modules/gg_entry/forwarded_request.h
+++ b/modules/gg_entry/forwarded_request.h
@@ -14,6 +14,8 @@
 
 namespace greengage {
 
+class TargetReportRecorder;
+
 /** Forwards one request of a caller: finds the route, sends attempts to
     targets, and responds to the caller. The object keeps itself alive until
     then. Traffic thread only. */
@@ -51,14 +53,8 @@
   /** Continues after a response that does not answer the request. */
   void OnRejectedResponse(const ResponseVerdict& verdict, http::status status,
                           TimePoint now);
-  /** Records that the target is leaving or asks for a pause, if a response
-      says so. */
-  void RecordNotices(const TargetFields& fields, TimePoint now);
-  /** Records the rate limit that a response names.
-      @param is_accepted  the response is the target's own answer; only such a
-             response without a limit shows that there is none. */
-  void RecordRateLimit(const TargetFields& fields, bool is_accepted,
-                       TimePoint now);
+  /** Returns the recorder for responses of the current target. */
+  TargetReportRecorder ReportRecorder() const;
   void OnFault(AttemptFault fault, const std::string& reason, TimePoint now);
   /** Continues with another target when the current one may not be sent the
       request any more. */
--- a/modules/gg_entry/http_listener.cc
+++ b/modules/gg_entry/http_listener.cc
@@ -74,7 +74,8 @@
       HttpSession::Options{
           .handler = options_.handler,
           .limits = options_.limits,
-          .on_closed = [this](HttpSession* s) { sessions_.erase(s); }});
+          .on_closed = [this](HttpSession* s) { sessions_.erase(s); },
+          .on_odd_message = options_.on_odd_message});
   sessions_[session.get()] = session;
   session->Start();
 }
--- a/modules/gg_entry/http_listener.h
+++ b/modules/gg_entry/http_listener.h
@@ -18,6 +18,7 @@
     SessionHandler handler;
     std::function<TrafficLimits()> limits;
     size_t max_sessions = 1000;  // further connections are closed at once
+    std::function<void()> on_odd_message;  // see HttpSession::Options
   };
 
   HttpListener(asio::io_context* context, Options options);
--- a/modules/gg_entry/http_session.cc
+++ b/modules/gg_entry/http_session.cc
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "gg_core/errors.h"
+#include "gg_insight/event_log.h"
 #include "gg_store/message_parsing.h"
 
 namespace greengage {
@@ -139,6 +141,13 @@
 }
 
 void HttpSession::OnParseError(const ErrorCode& error) {
+  const Step step =
+      parser_->is_header_done() ? Step::kBodyRead : Step::kHeaderRead;
+  LogEvent(LogLevel::kWarning, Event::kMessageRefused,
+           absl::StrCat("side=caller peer=", peer_,
+                        " step=", std::string(kStepNames.Name(step)),
+                        " reason=\"", error.message(), "\""));
+  if (options_.on_odd_message) options_.on_odd_message();
   http::status status = http::status::bad_request;
   if (error == http::error::header_limit) {
     status = http::status::request_header_fields_too_large;
--- a/modules/gg_entry/http_session.h
+++ b/modules/gg_entry/http_session.h
@@ -43,6 +43,7 @@
     SessionHandler handler;
     std::function<TrafficLimits()> limits;
     std::function<void(HttpSession*)> on_closed;  // called once
+    std::function<void()> on_odd_message;  // a request can't be read; optional
   };
 
   HttpSession(asio::ip::tcp::socket socket, Options options);
--- a/modules/gg_entry/target_attempt.cc
+++ b/modules/gg_entry/target_attempt.cc
@@ -31,6 +31,16 @@
   socket->set_option(UserTimeout(kTcpUserTimeoutMs), ignored);
 }
 
+/** Returns true if the bytes themselves are at fault, and not the end of the
+    connection. */
+bool IsOddMessage(const ErrorCode& error) {
+  const bool is_parser_error =
+      error.category() == ErrorCode(http::error::bad_value).category();
+  return is_parser_error && error != http::error::need_more &&
+         error != http::error::end_of_stream &&
+         error != http::error::partial_message;
+}
+
 }  // namespace
 
 TargetAttempt::TargetAttempt(Options options)
@@ -119,7 +129,9 @@
 }
 
 void TargetAttempt::OnParsed(const ErrorCode& error) {
-  if (error && error != http::error::need_more) {
+  if (IsOddMessage(error)) {
+    FailOddMessage(error.message());
+  } else if (error && error != http::error::need_more) {
     Fail(AttemptFault::kMayHaveRun, absl::StrCat("receive: ", error.message()));
   } else if (!TakeBodyBytes()) {
     Fail(AttemptFault::kMayHaveRun,
@@ -146,13 +158,12 @@
 void TargetAttempt::OnResponse() {
   const unsigned status = parser_->get().result_int();
   if (status == kSwitchingProtocols) {
-    Fail(AttemptFault::kMayHaveRun,
-         "receive: the target switched protocols unasked");
+    FailOddMessage("the target switched protocols unasked");
     return;
   }
   const bool is_interim = IsInterim(status);
   if (is_interim && ++interim_response_count_ > kMaxInterimResponses) {
-    Fail(AttemptFault::kMayHaveRun, "receive: too many interim responses");
+    FailOddMessage("too many interim responses");
     return;
   }
   if (is_interim) {
@@ -177,6 +188,14 @@
   Finish(std::move(outcome));
 }
 
+void TargetAttempt::FailOddMessage(const std::string& reason) {
+  AttemptOutcome outcome;
+  outcome.fault = AttemptFault::kMayHaveRun;
+  outcome.reason = absl::StrCat("receive: ", reason);
+  outcome.is_odd_message = true;
+  Finish(std::move(outcome));
+}
+
 void TargetAttempt::Finish(AttemptOutcome outcome) {
   ReturnBodyBytes();
   outcome.used_pooled_connection = uses_pooled_connection_;
--- a/modules/gg_entry/target_attempt.h
+++ b/modules/gg_entry/target_attempt.h
@@ -21,6 +21,7 @@
   AttemptFault fault = AttemptFault::kNotSent;  // when there is no response
   std::string reason;                           // of the fault
   bool is_connection_refused = false;   // no process listens at the address
+  bool is_odd_message = false;          // what the target sent can't be read
   bool used_pooled_connection = false;  // other requests were sent there before
   /** The connection, when it can be reused for another request. */
   PooledConnectionPtr reusable_connection;
@@ -77,6 +78,8 @@
   void ReturnBodyBytes();
   void Fail(AttemptFault fault, const std::string& reason,
             bool is_connection_refused = false);
+  /** Fails the attempt because of what the target has sent. */
+  void FailOddMessage(const std::string& reason);
   void Finish(AttemptOutcome outcome);
 
   Options options_;
--- a/tests/entry/entry_path_test.cc
+++ b/tests/entry/entry_path_test.cc
@@ -171,6 +171,28 @@
   LONGS_EQUAL(200, SendGet(kTrafficAddress, "/read/").result_int());
 }
 
+TEST(EntryPath, OddMessages_EndTheirConnectionsAndAreCounted) {
+  StartServing();
+  LONGS_EQUAL(502, SendOrder("odd_trailer").result_int());
+  LONGS_EQUAL(502, SendOrder("cut_head").result_int());
+  const std::string path = "/read/" + std::string(100'000, 'a');
+  const auto refusal = SendRequest(http::verb::get, kTrafficAddress, path, "x");
+  LONGS_EQUAL(431, refusal.result_int());
+  LONGS_EQUAL(200, SendOrder("").result_int());
+  const std::string metrics = SendGet(kHealthAddress, "/metrics").body();
+  // A head that breaks off is the end of a connection, not an odd message.
+  CHECK_TRUE(
+      Contains(metrics, "greengage_odd_messages_total{side=\"target\"} 1\n"));
+  CHECK_TRUE(
+      Contains(metrics, "greengage_odd_messages_total{side=\"caller\"} 1\n"));
+}
+
+TEST(EntryPath, InterimResponseWithoutIdentifier_LeavesTheOutcomeOfAnOrder) {
+  StartServing();
+  LONGS_EQUAL(200, SendOrder("early_hints").result_int());
+  LONGS_EQUAL(1, world->RunCount(last_id));
+}
+
 TEST(EntryPath, DrainingTarget_GetsNoNewRequests) {
   StartServing();
   world->SetDraining("t-1");
