Refuse responses whose status is outside 100 to 599

Cause: Beast takes any three digits for a status, and nothing looked at the number afterwards. Hypotheses were that the entry daemon makes a 000 of a response that it can't read, or that the number passes through. The second holds: the tests get 000, 001, 099, 600 and 999 back as sent, each with its fields and body, while the other broken status lines are refused by the parser.

CheckedResponseParser checks the header before the body is read. Both daemons, both clients of key-value services and greengagectl read responses with it, so an interim response with such a status is refused as well. A caller gets 502 (an order may have run); a read is tried at another target.

A connection of greengaged is kept only after an exchange that succeeded; the parser alone can't tell that a response was refused.

Failed before: {TargetAttempt,TargetExchange,StoreCall}.InvalidStatusLine_IsNoResponse, EntryPath.BrokenResponses_NeverReachTheCaller.

--- a/modules/gg_entry/target_attempt.h
+++ b/modules/gg_entry/target_attempt.h
@@ -9,6 +9,7 @@
 #include "gg_entry/byte_budget.h"
 #include "gg_entry/pooled_connection.h"
 #include "gg_request/attempt_policy.h"
+#include "gg_store/response_parser.h"
 
 namespace greengage {
 
@@ -86,7 +87,7 @@
   std::shared_ptr<const TargetRequest> request_;  // set when it is sent
   asio::steady_timer connect_timer_;
   PooledConnectionPtr connection_;
-  std::optional<http::response_parser<http::string_body>> parser_;
+  std::optional<CheckedResponseParser<http::string_body>> parser_;
   int interim_response_count_ = 0;
   size_t taken_bytes_ = 0;  // from the budget
   bool uses_pooled_connection_ = false;
--- a/modules/gg_http/http_types.h
+++ b/modules/gg_http/http_types.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "gg_store/asio.h"  // includes <utility> for Boost.Asio 1.74
+#include "gg_store/response_parser.h"
 
 namespace greengage {
 
@@ -16,7 +17,7 @@
 namespace http = boost::beast::http;
 
 using RequestParser = http::request_parser<http::buffer_body>;
-using ResponseParser = http::response_parser<http::buffer_body>;
+using ResponseParser = CheckedResponseParser<http::buffer_body>;
 using RequestHeader = http::request_header<>;
 using ResponseHeader = http::response_header<>;
 
--- a/modules/gg_http/target_exchange.cc
+++ b/modules/gg_http/target_exchange.cc
@@ -123,7 +123,10 @@
                           options_.target->address,
                           "the response is to an earlier request");
     }
-    if (!is_interim) co_return absl::OkStatus();
+    if (!is_interim) {
+      has_response_ = true;
+      co_return absl::OkStatus();
+    }
     if (interim_responses == kMaxInterimResponses) {
       co_return StepError(absl::StatusCode::kUnknown, Step::kForwardReceive,
                           options_.target->address,
@@ -213,7 +216,7 @@
 }
 
 bool TargetExchange::is_target_reusable() const {
-  return is_request_sent_ && parser_.has_value() && parser_->is_done() &&
+  return is_request_sent_ && has_response_ && parser_->is_done() &&
          parser_->get().keep_alive() && options_.target->buffer.size() == 0 &&
          RepeatsAttemptId();
 }
--- a/modules/gg_http/target_exchange.h
+++ b/modules/gg_http/target_exchange.h
@@ -106,8 +106,8 @@
   bool has_stale_response() const { return has_stale_response_; }
 
   /** Returns true if the target connection may carry another exchange: this
-      one is complete, and the target repeats Greengage-Attempt, so that a late
-      response to an earlier request would be noticed. */
+      one has succeeded, and the target repeats Greengage-Attempt, so that a
+     late response to an earlier request would be noticed. */
   bool is_target_reusable() const;
 
  private:
@@ -148,6 +148,7 @@
   bool is_fully_buffered_ = false;
   bool is_dispatched_ = false;
   bool is_request_sent_ = false;
+  bool has_response_ = false;  // a final one, which may be used
   bool has_stale_response_ = false;
 };
 
--- /dev/null
+++ b/modules/gg_store/response_parser.h
@@ -0,0 +1,51 @@
+#ifndef GG_STORE_RESPONSE_PARSER_H_
+#define GG_STORE_RESPONSE_PARSER_H_
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include "gg_store/message_parsing.h"
+
+namespace greengage {
+
+/** Parses one response of a peer. Refuses what Beast accepts although RFC 9110
+    and RFC 9112 do not; every response that another process sends is read by
+    this class.
+
+    Pass it to the functions of message_parsing.h. The functions of Beast would
+    call the base class, which checks nothing. */
+template <typename Body>
+class CheckedResponseParser : public http::response_parser<Body> {
+ public:
+  /** Parses bytes; hides the function of the base class.
+      @return the number of bytes used. */
+  size_t put(asio::const_buffer buffer, ErrorCode& error) {
+    if (this->is_header_done()) return Base::put(buffer, error);
+    // Without `eager`, Beast returns at the end of the header.
+    const bool is_eager = this->eager();
+    this->eager(false);
+    const size_t used = Base::put(buffer, error);
+    this->eager(is_eager);
+    if (!error && this->is_header_done()) error = CheckHeader();
+    return used;
+  }
+
+ private:
+  using Base = http::response_parser<Body>;
+
+  ErrorCode CheckHeader() {
+    const unsigned status = this->get().result_int();
+    if (status < kMinStatus || status > kMaxStatus) {
+      return http::error::bad_status;
+    }
+    return {};
+  }
+
+  // RFC 9110, section 15.
+  static constexpr unsigned kMinStatus = 100;
+  static constexpr unsigned kMaxStatus = 599;
+};
+
+}  // namespace greengage
+
+#endif  // GG_STORE_RESPONSE_PARSER_H_
--- a/modules/gg_store/store_client.cc
+++ b/modules/gg_store/store_client.cc
@@ -6,7 +6,7 @@
 #include <limits>
 
 #include "gg_core/errors.h"
-#include "gg_store/message_parsing.h"
+#include "gg_store/response_parser.h"
 #include "gg_store/store_codec.h"
 
 namespace greengage {
@@ -105,7 +105,7 @@
                                    EncodeWatch(prefix, start_revision));
   co_await http::async_write(connection->stream, request, Await(&error));
   if (error) co_return end_watch(error);
-  http::response_parser<http::buffer_body> parser;
+  CheckedResponseParser<http::buffer_body> parser;
   parser.body_limit(kUnlimitedBodyBytes);
   connection->stream.expires_after(idle_timeout);
   error = co_await ReadMessageHeader(&connection->stream, &connection->buffer,
@@ -152,7 +152,7 @@
   ErrorCode error;
   const auto request = MakeRequest(path, connection->address, std::move(body));
   co_await http::async_write(connection->stream, request, Await(&error));
-  http::response_parser<http::string_body> parser;
+  CheckedResponseParser<http::string_body> parser;
   parser.body_limit(kMaxResponseBytes);
   if (!error) {
     error =
--- a/tests/entry/entry_path_test.cc
+++ b/tests/entry/entry_path_test.cc
@@ -1,4 +1,5 @@
 #include "entry/entry_path_fixture.h"
+#include "entry/odd_responses.h"
 
 namespace greengage {
 namespace {
@@ -187,6 +188,28 @@
       Contains(metrics, "greengage_odd_messages_total{side=\"caller\"} 1\n"));
 }
 
+// A target sent a response with status 000, and callers got it as the answer.
+// Targets that fail are left for some time, so some requests are refused.
+TEST(EntryPath, BrokenResponses_NeverReachTheCaller) {
+  StartServing();
+  int failed_count = 0;
+  for (size_t i = 0; i < BrokenResponses().size(); ++i) {
+    const Response response = i % 2 == 0
+                                  ? SendOrder("broken")
+                                  : SendGet(kTrafficAddress, "/read/broken");
+    if (response.result_int() == 503) {
+      LONGS_EQUAL(0, world->RunCount(last_id));
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      continue;
+    }
+    LONGS_EQUAL(502, response.result_int());
+    CHECK_TRUE(response["Upstream-Stamp"].empty());
+    LONGS_EQUAL(i % 2 == 0 ? 1 : 2, world->RunCount(last_id));
+    ++failed_count;
+  }
+  CHECK_TRUE(failed_count > 10);
+}
+
 TEST(EntryPath, InterimResponseWithoutIdentifier_LeavesTheOutcomeOfAnOrder) {
   StartServing();
   LONGS_EQUAL(200, SendOrder("early_hints").result_int());
--- a/tests/entry/odd_responses.h
+++ b/tests/entry/odd_responses.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_ENTRY_ODD_RESPONSES_H_
 #define TESTS_ENTRY_ODD_RESPONSES_H_
 
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,135 @@
   return "HTTP/1.1 " + status + " Wait\r\n\r\n";
 }
 
+/** Returns a complete response with the given status line. */
+inline std::string ResponseWithStatusLine(const std::string& status_line,
+                                          const std::string& body) {
+  return status_line +
+         "\r\nRequest-Id: id-1\r\nUpstream-Stamp: stamp\r\n"
+         "Greengage-Attempt: id-1\r\n"
+         "Content-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/** Returns `body` as one chunk, with the last chunk and an empty trailer. */
+inline std::string ChunkedBody(const std::string& body) {
+  std::ostringstream text;
+  text << std::hex << body.size() << "\r\n" << body << "\r\n0\r\n\r\n";
+  return text.str();
+}
+
+/** Returns messages that begin with no status line of HTTP/1.1 (RFC 9112,
+    section 4), or with a status outside 100 to 599 (RFC 9110, section 15). */
+inline std::vector<std::string> ResponsesWithInvalidStatusLines(
+    const std::string& body = "hello") {
+  std::vector<std::string> responses;
+  for (const char* line : {"HTTP/1.1 000 OK",
+                           "HTTP/1.1 001 OK",
+                           "HTTP/1.1 099 OK",
+                           "HTTP/1.1 600 OK",
+                           "HTTP/1.1 999 OK",
+                           "HTTP/1.0 000 OK",
+                           "HTTP/1.1 20 OK",
+                           "HTTP/1.1 2000 OK",
+                           "HTTP/1.1  200 OK",
+                           "HTTP/1.1 -20 OK",
+                           "HTTP/1.1 +20 OK",
+                           "HTTP/1.1 2x0 OK",
+                           "HTTP/1.1\t200 OK",
+                           "HTTP/1.1 200",
+                           "HTTP/2.0 200 OK",
+                           "HTTP/0.9 200 OK",
+                           "http/1.1 200 OK",
+                           " HTTP/1.1 200 OK",
+                           "\r\nHTTP/1.1 200 OK",
+                           "HTTP/1.1 200 O\x01K",
+                           "HTTP/1.1 200 O\nK",
+                           "HTTP/1.1 200 O\rK",
+                           "200 OK",
+                           "hello"}) {
+    responses.push_back(ResponseWithStatusLine(line, body));
+  }
+  for (const char* status : {"000", "099", "600"}) {
+    responses.push_back(InterimHead(status) +
+                        ResponseWithStatusLine("HTTP/1.1 200 OK", body));
+  }
+  return responses;
+}
+
+/** Returns lines that are no field (RFC 9110, section 5): the name holds
+    anything but the characters of a token, or the value a control byte. */
+inline std::vector<std::string> InvalidFieldLines() {
+  using namespace std::string_literals;
+  return {"X Pad: a",
+          "X-Pad : a",
+          "X-Pad\t: a",
+          "X\tPad: a",
+          "X-\x01Pad: a",
+          "X-\0Pad: a"s,
+          "X-\x7fPad: a",
+          "X-\x80Pad: a",
+          "X-\rPad: a",
+          "X-\nPad: a",
+          "\x01: a",
+          ": a",
+          "X-Pad",
+          "X(Pad: a",
+          "X\"Pad: a",
+          "Content Length: 1",
+          "Content-Length : 1",
+          "Transfer-Encoding : x",
+          "Content-\x01Length: 1",
+          "X-Pad: a\x01",
+          "X-Pad: \0"s,
+          "X-Pad: \x7f",
+          "X-Pad: a\rb",
+          "X-Pad: a\nb"};
+}
+
+/** Returns responses with one invalid line: first or last in the head, or in
+    the head of an interim response. */
+inline std::vector<std::string> ResponsesWithInvalidFields(
+    const std::string& body = "hello") {
+  const std::string response = ResponseWithStatusLine("HTTP/1.1 200 OK", body);
+  const size_t fields_begin = response.find("\r\n") + 2;
+  const size_t fields_end = response.find("\r\n\r\n") + 2;
+  std::vector<std::string> responses;
+  // A blank at the start of the first line continues no other line.
+  responses.push_back(std::string(response).insert(fields_begin, " X: a\r\n"));
+  for (const std::string& field : InvalidFieldLines()) {
+    const std::string line = field + "\r\n";
+    responses.push_back(std::string(response).insert(fields_begin, line));
+    responses.push_back(std::string(response).insert(fields_end, line));
+    responses.push_back("HTTP/1.1 103 Wait\r\n" + line + "\r\n" + response);
+  }
+  return responses;
+}
+
+/** Returns chunked responses with one invalid line in the trailer. */
+inline std::vector<std::string> ResponsesWithInvalidTrailers(
+    const std::string& body = "hello") {
+  const std::string response = std::string(kHead) +
+                               "Transfer-Encoding: chunked\r\n\r\n" +
+                               ChunkedBody(body);
+  std::vector<std::string> responses;
+  for (const std::string& field : InvalidFieldLines()) {
+    responses.push_back(
+        std::string(response).insert(response.size() - 2, field + "\r\n"));
+  }
+  return responses;
+}
+
+/** Returns messages that are no response, of every kind. */
+inline std::vector<std::string> BrokenResponses() {
+  std::vector<std::string> responses;
+  for (const auto& kind :
+       {ResponsesWithInvalidStatusLines(), ResponsesWithInvalidFields(),
+        ResponsesWithInvalidTrailers()}) {
+    responses.insert(responses.end(), kind.begin(), kind.end());
+  }
+  return responses;
+}
+
 }  // namespace greengage
 
 #endif  // TESTS_ENTRY_ODD_RESPONSES_H_
--- a/tests/entry/store_response_test.cc
+++ b/tests/entry/store_response_test.cc
@@ -13,7 +13,8 @@
 
 constexpr char kStoreAddress[] = "127.0.7.6:18215";
 
-TEST_GROUP(StoreResponse) {
+class StoreResponseFixture : public Utest {
+ public:
   asio::io_context io;
   asio::ip::tcp::acceptor acceptor{io, *ParseEndpoint(kStoreAddress)};
   int connection_count = 0;
@@ -33,6 +34,7 @@
         for (const std::string& part : parts) {
           if (error) break;
           co_await asio::async_write(socket, asio::buffer(part), Await(&error));
+          if (parts.size() == 1) continue;
           co_await SleepFor(std::chrono::milliseconds(5));
         }
       } while (!error && !closes);
@@ -59,6 +61,99 @@
   }
 };
 
+TEST_GROUP_BASE(StoreResponse, StoreResponseFixture){};
+
+/** Bodies that the clients accept. */
+constexpr char kPage[] = R"({"items":[],"asOf":7})";
+constexpr char kRange[] = R"({"header":{"revision":"7"},"kvs":[]})";
+constexpr char kWatchLine[] =
+    R"({"result":{"header":{"revision":"7"},"events":[]}})"
+    "\n";
+
+/** Each call of both clients, against a service that responds with given
+    bytes. */
+TEST_GROUP_BASE(StoreCall, StoreResponseFixture) {
+  absl::Status ReadPage(const std::string& response) {
+    platform::PlatformStore store(&io, {.address = kStoreAddress});
+    return Run({response}, true, [&]() -> asio::awaitable<absl::Status> {
+      auto page = co_await store.ReadPage("op/", "");
+      co_return page.status();
+    });
+  }
+
+  absl::Status Put(const std::string& response) {
+    platform::PlatformStore store(&io, {.address = kStoreAddress});
+    // GCC 12 destroys a temporary argument of the awaited call twice.
+    const KeyValueWrite write{.key = "key", .value = "value"};
+    return Run({response}, true, [&]() -> asio::awaitable<absl::Status> {
+      co_return co_await store.Put(write);
+    });
+  }
+
+  absl::Status Get(const std::string& response) {
+    StoreClient store(&io, {.addresses = {kStoreAddress}});
+    return Run({response}, true, [&]() -> asio::awaitable<absl::Status> {
+      auto result = co_await store.Get("key");
+      co_return result.status();
+    });
+  }
+
+  /** Returns whether a watch takes a change from `response`. */
+  bool WatchSeesChange(const std::string& response) {
+    StoreClient store(&io, {.addresses = {kStoreAddress}});
+    bool has_change = false;
+    const auto watch = [&]() -> asio::awaitable<absl::Status> {
+      co_return co_await store.Watch(
+          "key", 1, std::chrono::seconds(1),
+          [&](const StoreReadResult&) { has_change = true; });
+    };
+    CHECK_FALSE(Run({response}, true, watch).ok());  // a watch has no other end
+    return has_change;
+  }
+
+  using MakeResponses = std::vector<std::string> (*)(const std::string& body);
+
+  /** Checks that no call takes any of the responses, made by `make_responses`
+      with a body, for a response. */
+  void CheckAreNoResponses(MakeResponses make_responses) {
+    for (const std::string& response : make_responses(kPage)) {
+      CHECK_FALSE_TEXT(ReadPage(response).ok(), response.c_str());
+      CHECK_FALSE_TEXT(Put(response).ok(), response.c_str());
+    }
+    for (const std::string& response : make_responses(kRange)) {
+      CHECK_FALSE_TEXT(Get(response).ok(), response.c_str());
+    }
+  }
+
+  /** The same for watches. They take changes as these arrive, so only the head
+      counts. */
+  void CheckAreNoWatches(MakeResponses make_responses) {
+    for (const std::string& response : make_responses(kWatchLine)) {
+      CHECK_FALSE_TEXT(WatchSeesChange(response), response.c_str());
+    }
+  }
+};
+
+// Shows that the bodies are accepted, so that the other tests can fail.
+TEST(StoreCall, ValidResponse_IsAccepted) {
+  const std::string status_line = "HTTP/1.1 200 OK";
+  CHECK_TRUE(ReadPage(ResponseWithStatusLine(status_line, kPage)).ok());
+  CHECK_TRUE(Put(ResponseWithStatusLine(status_line, kPage)).ok());
+  CHECK_TRUE(Get(ResponseWithStatusLine(status_line, kRange)).ok());
+  CHECK_TRUE(WatchSeesChange(ResponseWithStatusLine(status_line, kWatchLine)));
+}
+
+TEST(StoreCall, InvalidStatusLine_IsNoResponse) {
+  CheckAreNoResponses(ResponsesWithInvalidStatusLines);
+  CheckAreNoWatches(ResponsesWithInvalidStatusLines);
+}
+
+TEST(StoreCall, InvalidField_IsNoResponse) {
+  CheckAreNoResponses(ResponsesWithInvalidFields);
+  CheckAreNoResponses(ResponsesWithInvalidTrailers);
+  CheckAreNoWatches(ResponsesWithInvalidFields);
+}
+
 // As review/2: the stores' clients parsed responses without a guard as well.
 TEST(StoreResponse, OddEndOfAResponse_FailsTheCallOfThePlatformsStoreOnly) {
   for (const std::vector<std::string>& parts : OddChunkedResponses()) {
--- a/tests/entry/target_attempt_test.cc
+++ b/tests/entry/target_attempt_test.cc
@@ -17,6 +17,9 @@
   ByteBudget response_budget{64 * 1024 * 1024};
   size_t sent_bytes = 0;
   bool is_endless = true;
+  http::verb request_method = http::verb::get;
+  std::string request_body;
+  PooledConnectionPtr pooled_connection;  // of the next attempt
   std::optional<AttemptOutcome> outcome;
 
   /** Accepts one connection and writes `start`, then `repeated` until the
@@ -34,12 +37,18 @@
     }
   }
 
-  /** Accepts one connection, writes `parts` with pauses in between, and closes
-      the connection. */
-  asio::awaitable<void> ServeParts(std::vector<std::string> parts) {
+  /** Accepts one connection, or takes `kept`, writes `parts` with pauses in
+      between, and closes the connection. */
+  asio::awaitable<void> ServeParts(
+      std::vector<std::string> parts,
+      std::shared_ptr<asio::ip::tcp::socket> kept) {
     ErrorCode error;
     asio::ip::tcp::socket socket(io);
-    co_await acceptor.async_accept(socket, Await(&error));
+    if (kept != nullptr) {
+      socket = std::move(*kept);
+    } else {
+      co_await acceptor.async_accept(socket, Await(&error));
+    }
     for (const std::string& part : parts) {
       co_await asio::async_write(socket, asio::buffer(part), Await(&error));
       if (parts.size() > 1) co_await SleepFor(std::chrono::milliseconds(5));
@@ -53,10 +62,39 @@
   void RunParts(const std::vector<std::string>& parts) {
     outcome.reset();
     is_endless = false;
-    asio::co_spawn(io, ServeParts(parts), asio::detached);
+    asio::co_spawn(io, ServeParts(parts, nullptr), asio::detached);
+    RunAttempt();
+  }
+
+  /** As RunParts(), on a connection that was used before. */
+  void RunPartsOnKeptConnection(const std::vector<std::string>& parts) {
+    outcome.reset();
+    is_endless = false;
+    pooled_connection = std::make_shared<PooledConnection>(&io);
+    pooled_connection->socket.connect(acceptor.local_endpoint());
+    const auto target_side =
+        std::make_shared<asio::ip::tcp::socket>(acceptor.accept());
+    asio::co_spawn(io, ServeParts(parts, target_side), asio::detached);
     RunAttempt();
   }
 
+  /** Checks that none of `responses` is taken for a response, to a read or an
+      order, on a new or a kept connection. */
+  void CheckAreNoResponses(const std::vector<std::string>& responses) {
+    for (const http::verb method : {http::verb::get, http::verb::post}) {
+      request_method = method;
+      request_body = method == http::verb::post ? "two" : "";
+      for (const std::string& response : responses) {
+        CHECK_FALSE_TEXT(IsResponse({response}), response.c_str());
+        CHECK_TRUE(outcome->fault == AttemptFault::kMayHaveRun);
+        RunPartsOnKeptConnection({response});
+        CHECK_TRUE(outcome.has_value());
+        CHECK_FALSE_TEXT(outcome->response.has_value(), response.c_str());
+        CHECK_TRUE(outcome->fault == AttemptFault::kMayHaveRun);
+      }
+    }
+  }
+
   /** Returns whether the target's bytes were taken for a response. */
   bool IsResponse(const std::vector<std::string>& parts) {
     RunParts(parts);
@@ -74,10 +112,13 @@
   void RunAttempt() {
     io.restart();
     auto request =
-        std::make_shared<TargetRequest>(http::verb::get, "/read/", 11);
+        std::make_shared<TargetRequest>(request_method, "/read/", 11);
+    request->body() = request_body;
+    request->prepare_payload();
     const auto attempt = std::make_shared<TargetAttempt>(TargetAttempt::Options{
         .context = &io,
         .endpoint = acceptor.local_endpoint(),
+        .pooled_connection = std::move(pooled_connection),
         .make_request = [request] { return request; },
         .connect_timeout = std::chrono::seconds(1),
         .response_budget = &response_budget,
@@ -169,6 +210,15 @@
   }
 }
 
+TEST(TargetAttempt, InvalidStatusLine_IsNoResponse) {
+  CheckAreNoResponses(ResponsesWithInvalidStatusLines());
+}
+
+TEST(TargetAttempt, InvalidField_IsNoResponse) {
+  CheckAreNoResponses(ResponsesWithInvalidFields());
+  CheckAreNoResponses(ResponsesWithInvalidTrailers());
+}
+
 // Replays review/2: some of these ended the process.
 TEST(TargetAttempt, OddEndOfAChunkedResponse_FailsTheAttemptOnly) {
   for (const std::vector<std::string>& parts : OddChunkedResponses()) {
--- a/tests/entry/target_exchange_test.cc
+++ b/tests/entry/target_exchange_test.cc
@@ -21,6 +21,8 @@
   absl::Status status;
   int response_status = 0;
   std::string body;
+  bool is_reused_connection = false;
+  bool is_target_reusable = false;
 
   asio::awaitable<void> ServeTarget(std::vector<std::string> parts) {
     ErrorCode error;
@@ -52,10 +54,13 @@
                              .request = &request,
                              .target = &target,
                              .buffered_request_body = &no_body,
+                             .attempt_id = "id-1",
+                             .is_reused_connection = is_reused_connection,
                              .cancels_on_disconnect = false});
     status = co_await exchange.SendRequest();
     if (status.ok()) status = co_await exchange.ReadResponseHeader();
     if (status.ok()) status = co_await exchange.BufferResponseBody();
+    is_target_reusable = exchange.is_target_reusable();
     if (!status.ok()) co_return;
     response_status = static_cast<int>(exchange.response().result_int());
     body = exchange.buffered_body();
@@ -70,8 +75,30 @@
     io.run_for(std::chrono::seconds(5));
     return status.ok();
   }
+
+  /** Checks that none of `responses` is taken for a response, on a new or a
+      kept connection. */
+  void CheckAreNoResponses(const std::vector<std::string>& responses) {
+    for (const std::string& response : responses) {
+      is_reused_connection = false;
+      CHECK_FALSE_TEXT(IsResponse({response}), response.c_str());
+      CHECK_FALSE_TEXT(is_target_reusable, response.c_str());
+      is_reused_connection = true;
+      CHECK_FALSE_TEXT(IsResponse({response}), response.c_str());
+      CHECK_FALSE_TEXT(is_target_reusable, response.c_str());
+    }
+  }
 };
 
+TEST(TargetExchange, InvalidStatusLine_IsNoResponse) {
+  CheckAreNoResponses(ResponsesWithInvalidStatusLines());
+}
+
+TEST(TargetExchange, InvalidField_IsNoResponse) {
+  CheckAreNoResponses(ResponsesWithInvalidFields());
+  CheckAreNoResponses(ResponsesWithInvalidTrailers());
+}
+
 // Reported by another operator: a target closed its connection in the middle of
 // the head, and callers got a 200 with a short body.
 TEST(TargetExchange, ResponseCutAtAnyByte_IsNoResponse) {
--- a/tests/soak/entry_soak.cc
+++ b/tests/soak/entry_soak.cc
@@ -284,6 +284,7 @@
              .cut_head = random_.NextDouble() * 0.05,
              .odd_trailer = random_.NextDouble() * 0.05,
              .early_hints = random_.NextDouble() * 0.1,
+             .broken = 0.03,
              .work_ms = static_cast<int>(random_.NextBelow(80))});
         break;
       case 12:
--- a/tests/standins/platform_standin.cc
+++ b/tests/standins/platform_standin.cc
@@ -5,7 +5,9 @@
 
 #include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
 #include "absl/strings/str_split.h"
+#include "entry/odd_responses.h"
 
 namespace greengage::standins {
 namespace {
@@ -57,7 +59,7 @@
 }  // namespace
 
 PlatformStandin::PlatformStandin(std::string store_address, uint64_t seed)
-    : random_(seed) {
+    : broken_responses_(BrokenResponses()), random_(seed) {
   Listen(&io_, store_address,
          [this](ClientConnection* connection, RequestParser* request) {
            return HandleStoreRequest(connection, request);
@@ -439,6 +441,7 @@
   if (sample < (threshold += faults_.cut_head)) return "cut_head";
   if (sample < (threshold += faults_.odd_trailer)) return "odd_trailer";
   if (sample < (threshold += faults_.early_hints)) return "early_hints";
+  if (sample < (threshold += faults_.broken)) return "broken";
   return {};
 }
 
@@ -538,6 +541,15 @@
                                Await(&error));
     co_return false;
   }
+  if (behaviour == "broken") {
+    std::string bytes =
+        broken_responses_[next_broken_response_++ % broken_responses_.size()];
+    absl::StrReplaceAll({{"id-1", request_id}}, &bytes);
+    ErrorCode error;
+    co_await asio::async_write(connection->stream, asio::buffer(bytes),
+                               Await(&error));
+    co_return false;
+  }
   response.body() = absl::StrCat("whole ", request_id, " of ", id);
   response.set("Upstream-Load", "1,0,8");
   if (behaviour != "unsigned") response.set("Upstream-Stamp", "stamp-" + id);
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -27,6 +27,7 @@
   double cut_head = 0;     // run the request, then stop in the response's head
   double odd_trailer = 0;  // respond with a trailer field of 70,000 bytes
   double early_hints = 0;  // send a response with status 103 first
+  double broken = 0;       // send bytes that are no response, and close
   int work_ms = 2;         // time to process a request
   double rate_limit = 0;   // named in every response, per second; 0: none
   /** Each response is preceded by the previous one of the connection. */
@@ -42,10 +43,9 @@
     The last segment of a request's path selects how the target behaves: lose,
     shed, unstated (refuses without saying that it did not run it), fail,
     truncate, cross, unsigned, encoded, extra, unframed, interim (sends an
-    interim response first), early_hints, cut_head, odd_trailer, or slow (takes
-    3 s). With an empty segment the
-   behaviour is drawn according to SetFaults().
- */
+    interim response first), early_hints, cut_head, odd_trailer, broken (sends
+    the next of the messages that are no response), or slow (takes 3 s). With an
+    empty segment the behaviour is drawn according to SetFaults(). */
 class PlatformStandin {
  public:
   /** @param store_address  the address of the store, "ip:port"
@@ -190,6 +190,8 @@
   asio::io_context io_{1};
   asio::steady_timer keeper_{io_};
   mutable std::mutex mutex_;
+  const std::vector<std::string> broken_responses_;
+  size_t next_broken_response_ = 0;  // used by the servers' thread only
   Random random_;
   std::map<std::string, Item> items_;
   std::vector<Change> history_;
