Don't take a reset connection for the end of a response

A target answered a long upload at once with a 200 without length, sent a part of the body and reset the connection while the upload was still being written.

Hypotheses: (1) the error of the read is taken for the end of the body; (2) the write takes the socket's error, and the read then reports an orderly end. They differ in what the read returns. A trace of the new test shows the second: sendmsg(7, ...) = -1 ECONNRESET recvfrom(7, ...) = 0 The kernel reports a reset once, to the first operation that meets it, and a failed write is not final, as the response may have arrived before.

An end of the stream now ends a response only if the connection has not failed (RFC 9112, section 8), which poll() tells no matter who got the error. Both daemons had the fault, and read through the same function now. The clients of the stores and greengagectl don't read after a failed write. A response that was complete before the reset, by its length or its last chunk, is still used, and so is one without length that is closed in order. If an orderly close and a reset have both arrived before the daemon reads, the response counts as cut.

--- a/modules/gg_entry/target_attempt.cc
+++ b/modules/gg_entry/target_attempt.cc
@@ -120,7 +120,7 @@
   if (is_done_) return;
   connection_->buffer.commit(count);
   if (error == asio::error::eof) {
-    OnParsed(ParseEndOfStream(&*parser_));
+    OnParsed(ParseEndOfStream(connection_->socket, &*parser_));
   } else if (error) {
     OnParsed(error);
   } else {
--- a/modules/gg_store/asio.cc
+++ b/modules/gg_store/asio.cc
@@ -37,6 +37,12 @@
   return ::poll(&descriptor, 1, 0) > 0;
 }
 
+bool HasConnectionFailed(asio::ip::tcp::socket& socket) {
+  // POLLERR and POLLHUP are always reported.
+  pollfd descriptor{.fd = socket.native_handle(), .events = 0, .revents = 0};
+  return ::poll(&descriptor, 1, 0) > 0;
+}
+
 Duration TimeSinceLastReceived(asio::ip::tcp::socket& socket) {
   tcp_info info{};
   socklen_t size = sizeof(info);
--- a/modules/gg_store/asio.h
+++ b/modules/gg_store/asio.h
@@ -51,6 +51,12 @@
     that it sent before are still unread. Does not block. */
 bool HasPeerClosed(asio::ip::tcp::socket& socket);
 
+/** Returns true when the connection has ended by an error, such as a reset,
+   even if the error has been reported already: a failed write takes it from the
+   socket, and a read then reports an orderly end. The sending side must not
+   have been shut down. Does not block. */
+bool HasConnectionFailed(asio::ip::tcp::socket& socket);
+
 /** Returns the time since the newest bytes of the connection arrived, whether
    or not they have been read; zero when the system does not tell. */
 Duration TimeSinceLastReceived(asio::ip::tcp::socket& socket);
--- a/modules/gg_store/message_parsing.h
+++ b/modules/gg_store/message_parsing.h
@@ -60,11 +60,13 @@
   return http::error::need_more;
 }
 
-/** Tells the parser that the peer has closed its sending side.
+/** Tells the parser that a read has reported the end of the stream. After an
+    error of the connection it ends no message (RFC 9112, section 8).
     @return OK if the message is complete, http::error::end_of_stream if none
             has begun. */
 template <typename Parser>
-ErrorCode ParseEndOfStream(Parser* parser) {
+ErrorCode ParseEndOfStream(asio::ip::tcp::socket& socket, Parser* parser) {
+  if (HasConnectionFailed(socket)) return asio::error::connection_reset;
   if (!parser->got_some()) return http::error::end_of_stream;
   return CallParser([&](ErrorCode& e) { parser->put_eof(e); });
 }
@@ -87,7 +89,9 @@
     const size_t count =
         co_await stream->async_read_some(buffer->prepare(size), Await(&error));
     buffer->commit(count);
-    if (error == asio::error::eof) co_return ParseEndOfStream(parser);
+    if (error == asio::error::eof) {
+      co_return ParseEndOfStream(stream->socket(), parser);
+    }
     if (error) co_return error;
   }
 }
--- a/tests/entry/entry_path_test.cc
+++ b/tests/entry/entry_path_test.cc
@@ -210,6 +210,22 @@
   CHECK_TRUE(failed_count > 10);
 }
 
+// A target answered an upload at once, without a length, and reset the
+// connection in the middle of the body. Callers got that part as the answer.
+TEST(EntryPath, EarlyResponseResetDuringAnUpload_NeverReachesTheCaller) {
+  StartServing(5000);
+  const std::string upload(16 * 1024 * 1024, 'u');
+  for (int i = 0; i < 4; ++i) {
+    last_id = absl::StrCat("id-", next_id++);
+    const Response response =
+        SendRequest(http::verb::post, kTrafficAddress, "/order/early_reset",
+                    last_id, upload);
+    const bool is_refused = response.result_int() == 503;
+    CHECK_TRUE(is_refused || response.result_int() == 502);
+    LONGS_EQUAL(is_refused ? 0 : 1, world->RunCount(last_id));
+  }
+}
+
 TEST(EntryPath, InterimResponseWithoutIdentifier_LeavesTheOutcomeOfAnOrder) {
   StartServing();
   LONGS_EQUAL(200, SendOrder("early_hints").result_int());
--- a/tests/entry/odd_responses.h
+++ b/tests/entry/odd_responses.h
@@ -1,16 +1,57 @@
 #ifndef TESTS_ENTRY_ODD_RESPONSES_H_
 #define TESTS_ENTRY_ODD_RESPONSES_H_
 
+#include <boost/asio/write.hpp>
 #include <sstream>
 #include <string>
 #include <vector>
 
+#include "gg_store/asio.h"
+
 namespace greengage {
 
 /** Start of a response's head; its fields and the empty line are to follow. */
 inline constexpr char kHead[] =
     "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nUpstream-Stamp: stamp\r\n";
 
+/** A response whose body ends with the connection, and its first part. */
+inline constexpr char kUnframedResponse[] =
+    "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nUpstream-Stamp: stamp\r\n\r\n"
+    "hello";
+
+/** How a target ends a connection on which a request is still arriving. */
+enum class ConnectionEnd { kClose, kReset };
+
+/** Ends a connection; after a close, what still arrives is read, as closing
+   with bytes unread would be a reset. */
+inline asio::awaitable<void> EndConnection(asio::ip::tcp::socket* socket,
+                                           ConnectionEnd end) {
+  ErrorCode error;
+  if (end == ConnectionEnd::kReset) {
+    socket->set_option(asio::socket_base::linger(true, 0), error);
+    socket->close(error);
+    co_return;
+  }
+  socket->shutdown(asio::socket_base::shutdown_send, error);
+  std::string discarded(64 * 1024, '\0');
+  while (!error) {
+    co_await socket->async_read_some(asio::buffer(discarded), Await(&error));
+  }
+}
+
+/** Accepts one connection, writes an unframed response before the request has
+    been read, and ends the connection after `pause`. */
+inline asio::awaitable<void> ServeEarly(asio::ip::tcp::acceptor* acceptor,
+                                        ConnectionEnd end, Duration pause) {
+  ErrorCode error;
+  asio::ip::tcp::socket socket(co_await asio::this_coro::executor);
+  co_await acceptor->async_accept(socket, Await(&error));
+  co_await asio::async_write(
+      socket, asio::buffer(std::string_view(kUnframedResponse)), Await(&error));
+  if (pause > Duration::zero()) co_await SleepFor(pause);
+  co_await EndConnection(&socket, end);
+}
+
 /** Returns complete responses with the body "hello", whose end can be told
     without the end of the connection. */
 inline std::vector<std::string> FramedResponses() {
--- a/tests/entry/target_attempt_test.cc
+++ b/tests/entry/target_attempt_test.cc
@@ -58,6 +58,18 @@
     co_await socket.async_read_some(asio::buffer(request), Await(&error));
   }
 
+  /** Sends an upload that doesn't fit into the buffers of the connection to a
+      target that serves it by ServeEarly(). */
+  void RunUpload(ConnectionEnd end, Duration pause) {
+    outcome.reset();
+    is_endless = false;
+    request_method = http::verb::post;
+    request_body.assign(32 * 1024 * 1024, 'u');
+    asio::co_spawn(io, ServeEarly(&acceptor, end, pause), asio::detached);
+    RunAttempt();
+    CHECK_TRUE(outcome.has_value());
+  }
+
   /** Sends a request to a target that responds with `parts`. */
   void RunParts(const std::vector<std::string>& parts) {
     outcome.reset();
@@ -219,6 +231,27 @@
   CheckAreNoResponses(ResponsesWithInvalidTrailers());
 }
 
+// Reported by an operator: the part of the body before the reset was taken for
+// the whole one.
+TEST(TargetAttempt, UnframedResponseResetDuringAnUpload_IsNoResponse) {
+  for (const int pause_ms : {0, 1, 20}) {
+    for (int round = 0; round < 5; ++round) {
+      RunUpload(ConnectionEnd::kReset, std::chrono::milliseconds(pause_ms));
+      CHECK_FALSE(outcome->response.has_value());
+      CHECK_TRUE(outcome->fault == AttemptFault::kMayHaveRun);
+    }
+  }
+}
+
+TEST(TargetAttempt, UnframedResponseClosedDuringAnUpload_IsComplete) {
+  for (const int pause_ms : {0, 20}) {
+    RunUpload(ConnectionEnd::kClose, std::chrono::milliseconds(pause_ms));
+    CHECK_TRUE(outcome->response.has_value());
+    STRCMP_EQUAL("hello", outcome->response->body().c_str());
+    CHECK_TRUE(outcome->reusable_connection == nullptr);
+  }
+}
+
 // Replays review/2: some of these ended the process.
 TEST(TargetAttempt, OddEndOfAChunkedResponse_FailsTheAttemptOnly) {
   for (const std::vector<std::string>& parts : OddChunkedResponses()) {
--- a/tests/entry/target_exchange_test.cc
+++ b/tests/entry/target_exchange_test.cc
@@ -13,6 +13,9 @@
 constexpr char kTargetAddress[] = "127.0.7.6:18213";
 constexpr char kCallerAddress[] = "127.0.7.6:18214";
 
+/** Doesn't fit into the buffers of a connection. */
+constexpr size_t kUploadBytes = 32 * 1024 * 1024;
+
 /** Runs exchanges with a target that sends given bytes and closes. */
 TEST_GROUP(TargetExchange) {
   asio::io_context io;
@@ -66,6 +69,59 @@
     body = exchange.buffered_body();
   }
 
+  asio::awaitable<void> SendUpload(asio::ip::tcp::socket * caller_side) {
+    const std::string text = "PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                             std::to_string(kUploadBytes) + "\r\n\r\n" +
+                             std::string(kUploadBytes, 'u');
+    ErrorCode error;
+    co_await asio::async_write(*caller_side, asio::buffer(text), Await(&error));
+  }
+
+  /** Runs an upload as Forwarder does. */
+  asio::awaitable<void> RunUploadExchange(bool is_body_buffered) {
+    ErrorCode error;
+    asio::ip::tcp::socket caller_side(io);
+    caller_side.connect(*ParseEndpoint(kCallerAddress));
+    CallerConnection caller(caller_acceptor.accept());
+    asio::co_spawn(io, SendUpload(&caller_side), asio::detached);
+    RequestParser request;
+    request.body_limit(kUnlimitedBody);
+    co_await http::async_read_header(caller.stream, caller.buffer, request,
+                                     Await(&error));
+    TargetConnection target(io.get_executor());
+    co_await target.stream.async_connect(*ParseEndpoint(kTargetAddress),
+                                         Await(&error));
+    const std::string upload(kUploadBytes, 'u');
+    TargetExchange exchange(
+        {.caller = &caller,
+         .request = &request,
+         .target = &target,
+         .buffered_request_body = is_body_buffered ? &upload : nullptr,
+         .cancels_on_disconnect = false});
+    status = co_await exchange.SendRequest();
+    if (!status.ok()) status = co_await exchange.ReadResponseHeader();
+    if (status.ok() && is_body_buffered) {
+      status = co_await exchange.BufferResponseBody();
+    }
+    if (!status.ok()) co_return;
+    bool is_complete = true;
+    co_await exchange.RelayResponse(true, &is_complete);
+    if (!is_complete) status = absl::UnknownError("the response was cut");
+  }
+
+  /** Returns whether the response of a target that responds early to an upload
+      was taken for a complete one. */
+  bool IsUploadAnswered(ConnectionEnd end, Duration pause,
+                        bool is_body_buffered) {
+    status = absl::InternalError("not run");
+    io.restart();
+    asio::co_spawn(io, ServeEarly(&target_acceptor, end, pause),
+                   asio::detached);
+    asio::co_spawn(io, RunUploadExchange(is_body_buffered), asio::detached);
+    io.run_for(std::chrono::seconds(5));
+    return status.ok();
+  }
+
   /** Returns whether the target's bytes were taken for a complete response. */
   bool IsResponse(const std::vector<std::string>& parts) {
     status = absl::InternalError("not run");
@@ -119,6 +175,23 @@
   CHECK_TRUE(IsResponse({head}));
 }
 
+// As on greengage_entry: the part of the body before the reset was taken for
+// the whole one.
+TEST(TargetExchange, UnframedResponseResetDuringAnUpload_IsNoResponse) {
+  for (const bool is_body_buffered : {false, true}) {
+    for (const int pause_ms : {0, 1, 20}) {
+      CHECK_FALSE(IsUploadAnswered(ConnectionEnd::kReset,
+                                   std::chrono::milliseconds(pause_ms),
+                                   is_body_buffered));
+    }
+  }
+}
+
+TEST(TargetExchange, UnframedResponseClosedDuringAnUpload_IsComplete) {
+  CHECK_TRUE(IsUploadAnswered(ConnectionEnd::kClose,
+                              std::chrono::milliseconds(20), false));
+}
+
 // As review/2 on greengage_entry: some of these ended the process.
 TEST(TargetExchange, OddEndOfAChunkedResponse_FailsTheExchangeOnly) {
   for (const std::vector<std::string>& parts : OddChunkedResponses()) {
--- a/tests/standins/platform_standin.cc
+++ b/tests/standins/platform_standin.cc
@@ -15,6 +15,9 @@
 using nlohmann::json;
 
 constexpr Duration kWatchPollInterval = std::chrono::milliseconds(10);
+
+/** Time in which a daemon reads what was sent before a reset. */
+constexpr Duration kResetDelay = std::chrono::milliseconds(20);
 constexpr Duration kDisconnectPollInterval = std::chrono::milliseconds(10);
 
 TimePoint Now() { return std::chrono::steady_clock::now(); }
@@ -447,10 +450,18 @@
 
 asio::awaitable<bool> PlatformStandin::HandleTargetRequest(
     std::string id, ClientConnection* connection, RequestParser* request) {
-  std::string body;
-  if (!co_await ReadBody(connection, request, &body)) co_return false;
   const std::string path(FromBeast(request->get().target()));
   const std::string requested = path.substr(path.rfind('/') + 1);
+  if (requested == "early_reset") {
+    {
+      const std::lock_guard lock(mutex_);
+      ++run_counts_[HeaderField(*request, "Request-Id")];
+    }
+    co_await SendEarlyAndReset(connection, HeaderField(*request, "Request-Id"));
+    co_return false;
+  }
+  std::string body;
+  if (!co_await ReadBody(connection, request, &body)) co_return false;
   std::string behaviour = ChooseBehaviour(requested);
   if (HeaderField(*request, "Expect-Instance") != id) {
     co_return co_await Send(connection, *request,
@@ -486,6 +497,17 @@
   }
 }
 
+asio::awaitable<void> PlatformStandin::SendEarlyAndReset(
+    ClientConnection* connection, std::string request_id) {
+  const std::string bytes =
+      absl::StrReplaceAll(kUnframedResponse, {{"id-1", request_id}});
+  ErrorCode error;
+  co_await asio::async_write(connection->stream, asio::buffer(bytes),
+                             Await(&error));
+  co_await SleepFor(kResetDelay);
+  co_await EndConnection(&connection->stream.socket(), ConnectionEnd::kReset);
+}
+
 asio::awaitable<bool> PlatformStandin::RespondAsTarget(
     std::string id, std::string behaviour, ClientConnection* connection,
     RequestParser* request) {
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -44,7 +44,9 @@
     shed, unstated (refuses without saying that it did not run it), fail,
     truncate, cross, unsigned, encoded, extra, unframed, interim (sends an
     interim response first), early_hints, cut_head, odd_trailer, broken (sends
-    the next of the messages that are no response), or slow (takes 3 s). With an
+    the next of the messages that are no response), early_reset (sends a part of
+    an unframed response before it has read the request's body, and resets the
+    connection), or slow (takes 3 s). With an
     empty segment the behaviour is drawn according to SetFaults(). */
 class PlatformStandin {
  public:
@@ -177,6 +179,8 @@
                                         RequestParser* request);
   /** Processes a request for `duration`.
       @return false if the connection was closed in the meantime. */
+  asio::awaitable<void> SendEarlyAndReset(ClientConnection* connection,
+                                          std::string request_id);
   asio::awaitable<bool> Work(ClientConnection* connection,
                              std::string request_id, Duration duration);
   std::string RangeJson(const std::string& after) const;
