Refuse responses in a transfer coding other than chunked

A target whose response named another coding than chunked (gzip, "gzip, chunked", "chunked, gzip", an unknown name or none) had its body passed on as it came. The field concerns one connection and is not passed on, so callers got coded bytes, or the lines between the chunks, as the body. Found while checking other places that read responses; nobody reported it.

Cause: Beast decodes a body if the last coding of one field is chunked, and otherwise reads to the end of the connection, or as far as Content-Length says.

Nothing asks for a coding, so a response that uses any other is refused.

Failed before: {TargetAttempt,TargetExchange,StoreCall,HttpGet}.InvalidFraming_IsNoResponse.

--- a/modules/gg_store/response_parser.h
+++ b/modules/gg_store/response_parser.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <iterator>
 
 #include "gg_store/message_parsing.h"
 
@@ -38,9 +39,22 @@
     if (status < kMinStatus || status > kMaxStatus) {
       return http::error::bad_status;
     }
+    if (!HasUsableCoding()) return http::error::bad_transfer_encoding;
     return {};
   }
 
+  /** Returns whether the body is sent as it is or in chunks. No request asks
+     for another coding, and Beast takes a body in an unknown one for the plain
+      body. A response of HTTP/1.0 has no coding. */
+  bool HasUsableCoding() const {
+    const auto [first, last] =
+        this->get().equal_range(http::field::transfer_encoding);
+    if (first == last) return true;
+    return std::next(first) == last &&
+           beast::iequals(first->value(), "chunked") &&
+           this->get().version() >= 11;
+  }
+
   // RFC 9110, section 15.
   static constexpr unsigned kMinStatus = 100;
   static constexpr unsigned kMaxStatus = 599;
--- a/tests/entry/http_get_test.cc
+++ b/tests/entry/http_get_test.cc
@@ -54,5 +54,9 @@
   CheckAreNoResponses(ResponsesWithInvalidTrailers());
 }
 
+TEST(HttpGet, InvalidFraming_IsNoResponse) {
+  CheckAreNoResponses(ResponsesWithInvalidFraming());
+}
+
 }  // namespace
 }  // namespace greengage
--- a/tests/entry/odd_responses.h
+++ b/tests/entry/odd_responses.h
@@ -199,12 +199,51 @@
   return responses;
 }
 
+/** Returns responses whose body can't be told from the bytes that follow, or is
+    in a transfer coding that nobody asked for (RFC 9112, sections 6.1 to 6.3).
+    All are followed by the end of the connection. */
+inline std::vector<std::string> ResponsesWithInvalidFraming(
+    const std::string& body = "hello") {
+  const std::string head = kHead;
+  const std::string length =
+      "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  const std::string chunks = ChunkedBody(body);
+  std::vector<std::string> responses = {
+      head + "Transfer-Encoding: gzip\r\n\r\n" + body,
+      head + "Transfer-Encoding: gzip\r\n" + length + "\r\n" + body,
+      head + length + "Transfer-Encoding: gzip\r\n\r\n" + body,
+      head + "Transfer-Encoding: gzip\r\n" + chunked + "\r\n" + chunks,
+      head + chunked + "Transfer-Encoding: gzip\r\n\r\n" + chunks,
+      head + chunked + chunked + "\r\n" + chunks,
+      head + chunked + length + "\r\n" + chunks,
+      head + length + chunked + "\r\n" + chunks,
+      "HTTP/1.0 200 OK\r\nRequest-Id: id-1\r\n" + chunked + "\r\n" + chunks,
+      head + length + "Content-Length: 1\r\n\r\n" + body};
+  for (const char* coding :
+       {"chunked, gzip", "gzip, chunked", "chunked, chunked", "chunked;q=1",
+        "\"chunked\"", "xchunked", "chunkedx", "identity", ""}) {
+    for (const std::string& text : {body, chunks}) {
+      responses.push_back(head + "Transfer-Encoding: " + coding + "\r\n\r\n" +
+                          text);
+    }
+  }
+  const std::string size = std::to_string(body.size());
+  for (const std::string& value :
+       {"+" + size, "-" + size, size + "x", "0x" + size, size + ", 1",
+        size + ".0", std::string(), size + " " + size,
+        std::string("18446744073709551621")}) {
+    responses.push_back(head + "Content-Length: " + value + "\r\n\r\n" + body);
+  }
+  return responses;
+}
+
 /** Returns messages that are no response, of every kind. */
 inline std::vector<std::string> BrokenResponses() {
   std::vector<std::string> responses;
   for (const auto& kind :
        {ResponsesWithInvalidStatusLines(), ResponsesWithInvalidFields(),
-        ResponsesWithInvalidTrailers()}) {
+        ResponsesWithInvalidTrailers(), ResponsesWithInvalidFraming()}) {
     responses.insert(responses.end(), kind.begin(), kind.end());
   }
   return responses;
--- a/tests/entry/store_response_test.cc
+++ b/tests/entry/store_response_test.cc
@@ -154,6 +154,11 @@
   CheckAreNoWatches(ResponsesWithInvalidFields);
 }
 
+TEST(StoreCall, InvalidFraming_IsNoResponse) {
+  CheckAreNoResponses(ResponsesWithInvalidFraming);
+  CheckAreNoWatches(ResponsesWithInvalidFraming);
+}
+
 // As review/2: the stores' clients parsed responses without a guard as well.
 TEST(StoreResponse, OddEndOfAResponse_FailsTheCallOfThePlatformsStoreOnly) {
   for (const std::vector<std::string>& parts : OddChunkedResponses()) {
--- a/tests/entry/target_attempt_test.cc
+++ b/tests/entry/target_attempt_test.cc
@@ -231,6 +231,10 @@
   CheckAreNoResponses(ResponsesWithInvalidTrailers());
 }
 
+TEST(TargetAttempt, InvalidFraming_IsNoResponse) {
+  CheckAreNoResponses(ResponsesWithInvalidFraming());
+}
+
 // Reported by an operator: the part of the body before the reset was taken for
 // the whole one.
 TEST(TargetAttempt, UnframedResponseResetDuringAnUpload_IsNoResponse) {
--- a/tests/entry/target_exchange_test.cc
+++ b/tests/entry/target_exchange_test.cc
@@ -175,6 +175,10 @@
   CHECK_TRUE(IsResponse({head}));
 }
 
+TEST(TargetExchange, InvalidFraming_IsNoResponse) {
+  CheckAreNoResponses(ResponsesWithInvalidFraming());
+}
+
 // As on greengage_entry: the part of the body before the reset was taken for
 // the whole one.
 TEST(TargetExchange, UnframedResponseResetDuringAnUpload_IsNoResponse) {
