Close a connection after a 204 that announces a body

A 204 ends with its header, whatever its fields say. If they announce a body, the target may send one all the same, and on a kept connection it would be read as the start of the next response: an order that ran would fail. Found while checking how responses end; nobody reported it.

Such a connection is not kept. The clients that asked the message whether to keep a connection ask the parser now, which also knows that a body ended with the connection.

--- a/modules/gg_http/target_exchange.cc
+++ b/modules/gg_http/target_exchange.cc
@@ -217,7 +217,7 @@
 
 bool TargetExchange::is_target_reusable() const {
   return is_request_sent_ && has_response_ && parser_->is_done() &&
-         parser_->get().keep_alive() && options_.target->buffer.size() == 0 &&
+         parser_->keep_alive() && options_.target->buffer.size() == 0 &&
          RepeatsAttemptId();
 }
 
--- a/modules/gg_store/response_parser.h
+++ b/modules/gg_store/response_parser.h
@@ -31,6 +31,18 @@
     return used;
   }
 
+  /** Returns whether the connection may carry another response; hides the
+      function of the base class. A response that has no body but announces one
+      ends with its header (RFC 9112, section 6.3); the body may still arrive.
+   */
+  bool keep_alive() const {
+    const unsigned status = this->get().result_int();
+    const bool is_bodiless = IsInterim(status) || status == kNoContent;
+    const bool announces_body =
+        this->chunked() || this->content_length().value_or(0) > 0;
+    return Base::keep_alive() && !(is_bodiless && announces_body);
+  }
+
  private:
   using Base = http::response_parser<Body>;
 
@@ -58,6 +70,7 @@
   // RFC 9110, section 15.
   static constexpr unsigned kMinStatus = 100;
   static constexpr unsigned kMaxStatus = 599;
+  static constexpr unsigned kNoContent = 204;
 };
 
 }  // namespace greengage
--- a/modules/gg_store/store_client.cc
+++ b/modules/gg_store/store_client.cc
@@ -168,7 +168,7 @@
   }
   const std::string address = connection->address;
   // After an interim response the final one is still to come.
-  const bool is_reusable = parser.get().keep_alive() &&
+  const bool is_reusable = parser.keep_alive() &&
                            !IsInterim(parser.get().result_int()) &&
                            connection->buffer.size() == 0;
   if (is_reusable && idle_connections_.size() < kMaxIdleConnections) {
--- a/tests/entry/odd_responses.h
+++ b/tests/entry/odd_responses.h
@@ -238,6 +238,15 @@
   return responses;
 }
 
+/** Returns responses that have no body but announce one. */
+inline std::vector<std::string> BodilessResponsesThatAnnounceABody() {
+  const std::string head =
+      "HTTP/1.1 204 No Content\r\nRequest-Id: id-1\r\n"
+      "Greengage-Attempt: id-1\r\n";
+  return {head + "Content-Length: 5\r\n\r\n",
+          head + "Transfer-Encoding: chunked\r\n\r\n"};
+}
+
 /** Returns messages that are no response, of every kind. */
 inline std::vector<std::string> BrokenResponses() {
   std::vector<std::string> responses;
--- a/tests/entry/target_attempt_test.cc
+++ b/tests/entry/target_attempt_test.cc
@@ -235,6 +235,16 @@
   CheckAreNoResponses(ResponsesWithInvalidFraming());
 }
 
+// A body that arrives after all would be taken for the next response.
+TEST(TargetAttempt, BodilessResponseThatAnnouncesABody_EndsTheConnection) {
+  for (const std::string& response : BodilessResponsesThatAnnounceABody()) {
+    CHECK_TRUE(IsResponse({response}));
+    CHECK_TRUE(outcome->reusable_connection == nullptr);
+  }
+  CHECK_TRUE(IsResponse({ResponseWithStatusLine("HTTP/1.1 204 OK", "")}));
+  CHECK_TRUE(outcome->reusable_connection != nullptr);
+}
+
 // Reported by an operator: the part of the body before the reset was taken for
 // the whole one.
 TEST(TargetAttempt, UnframedResponseResetDuringAnUpload_IsNoResponse) {
--- a/tests/entry/target_exchange_test.cc
+++ b/tests/entry/target_exchange_test.cc
@@ -179,6 +179,16 @@
   CheckAreNoResponses(ResponsesWithInvalidFraming());
 }
 
+// A body that arrives after all would be taken for the next response.
+TEST(TargetExchange, BodilessResponseThatAnnouncesABody_EndsTheConnection) {
+  for (const std::string& response : BodilessResponsesThatAnnounceABody()) {
+    CHECK_TRUE(IsResponse({response}));
+    CHECK_FALSE(is_target_reusable);
+  }
+  CHECK_TRUE(IsResponse({ResponseWithStatusLine("HTTP/1.1 204 OK", "")}));
+  CHECK_TRUE(is_target_reusable);
+}
+
 // As on greengage_entry: the part of the body before the reset was taken for
 // the whole one.
 TEST(TargetExchange, UnframedResponseResetDuringAnUpload_IsNoResponse) {
