Keep the fields of a trailer out of a response's header

A field in the trailer of a chunked response counted as one of its header: a 200 without signature passed for a signed one, an order that ran was taken for one that its target had not run, and greengaged kept a connection whose target had not repeated the attempt in its header. Found while checking trailers; nobody reported it.

Cause: Beast adds the fields of a trailer to those of the header. RFC 9110, section 6.5.1, forbids merging them unless the field's definition permits it, and none of the fields that are read here does.

The header of a chunked response is kept as it was at its end; the trailer is checked and dropped.

Failed before: {TargetAttempt,TargetExchange}.FieldsOfATrailer_AreNotThoseOfTheHeader.

--- a/modules/gg_store/response_parser.h
+++ b/modules/gg_store/response_parser.h
@@ -4,6 +4,8 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <iterator>
+#include <optional>
+#include <utility>
 
 #include "gg_store/message_parsing.h"
 
@@ -21,14 +23,8 @@
   /** Parses bytes; hides the function of the base class.
       @return the number of bytes used. */
   size_t put(asio::const_buffer buffer, ErrorCode& error) {
-    if (this->is_header_done()) return Base::put(buffer, error);
-    // Without `eager`, Beast returns at the end of the header.
-    const bool is_eager = this->eager();
-    this->eager(false);
-    const size_t used = Base::put(buffer, error);
-    this->eager(is_eager);
-    if (!error && this->is_header_done()) error = CheckHeader();
-    return used;
+    return this->is_header_done() ? PutBody(buffer, error)
+                                  : PutHeader(buffer, error);
   }
 
   /** Returns whether the connection may carry another response; hides the
@@ -46,6 +42,26 @@
  private:
   using Base = http::response_parser<Body>;
 
+  size_t PutHeader(asio::const_buffer buffer, ErrorCode& error) {
+    // Without `eager`, Beast returns at the end of the header.
+    const bool is_eager = this->eager();
+    this->eager(false);
+    const size_t used = Base::put(buffer, error);
+    this->eager(is_eager);
+    if (error || !this->is_header_done()) return used;
+    error = CheckHeader();
+    if (this->chunked()) header_ = this->get().base();
+    return used;
+  }
+
+  size_t PutBody(asio::const_buffer buffer, ErrorCode& error) {
+    const size_t used = Base::put(buffer, error);
+    // Beast adds the fields of a trailer to the header. They must not be merged
+    // (RFC 9110, section 6.5.1), and are dropped.
+    if (this->is_done() && header_) this->get().base() = *std::move(header_);
+    return used;
+  }
+
   ErrorCode CheckHeader() {
     const unsigned status = this->get().result_int();
     if (status < kMinStatus || status > kMaxStatus) {
@@ -67,6 +83,8 @@
            this->get().version() >= 11;
   }
 
+  std::optional<http::response_header<>> header_;  // of a chunked response
+
   // RFC 9110, section 15.
   static constexpr unsigned kMinStatus = 100;
   static constexpr unsigned kMaxStatus = 599;
--- a/tests/entry/odd_responses.h
+++ b/tests/entry/odd_responses.h
@@ -247,6 +247,16 @@
           head + "Transfer-Encoding: chunked\r\n\r\n"};
 }
 
+/** Returns a chunked response with the body "hello", whose trailer says what
+    only a header can say. */
+inline std::string ResponseWithTrailer(const std::string& header_fields,
+                                       const std::string& trailer_fields) {
+  const std::string response = "HTTP/1.1 200 OK\r\n" + header_fields +
+                               "Transfer-Encoding: chunked\r\n\r\n" +
+                               ChunkedBody("hello");
+  return std::string(response).insert(response.size() - 2, trailer_fields);
+}
+
 /** Returns messages that are no response, of every kind. */
 inline std::vector<std::string> BrokenResponses() {
   std::vector<std::string> responses;
--- a/tests/entry/target_attempt_test.cc
+++ b/tests/entry/target_attempt_test.cc
@@ -235,6 +235,18 @@
   CheckAreNoResponses(ResponsesWithInvalidFraming());
 }
 
+TEST(TargetAttempt, FieldsOfATrailer_AreNotThoseOfTheHeader) {
+  const std::string response = ResponseWithTrailer(
+      "Request-Id: id-1\r\n", "Upstream-Stamp: stamp\r\nNot-Run: 1\r\n");
+  for (size_t size = 0; size < response.size(); size += 7) {
+    CHECK_TRUE(IsResponse({response.substr(0, size), response.substr(size)}));
+    STRCMP_EQUAL("hello", outcome->response->body().c_str());
+    CHECK_TRUE((*outcome->response)["Request-Id"] == "id-1");
+    CHECK_TRUE((*outcome->response)["Upstream-Stamp"].empty());
+    CHECK_TRUE((*outcome->response)["Not-Run"].empty());
+  }
+}
+
 // A body that arrives after all would be taken for the next response.
 TEST(TargetAttempt, BodilessResponseThatAnnouncesABody_EndsTheConnection) {
   for (const std::string& response : BodilessResponsesThatAnnounceABody()) {
--- a/tests/entry/target_exchange_test.cc
+++ b/tests/entry/target_exchange_test.cc
@@ -24,6 +24,7 @@
   absl::Status status;
   int response_status = 0;
   std::string body;
+  std::string response_outcome;
   bool is_reused_connection = false;
   bool is_target_reusable = false;
 
@@ -67,6 +68,7 @@
     if (!status.ok()) co_return;
     response_status = static_cast<int>(exchange.response().result_int());
     body = exchange.buffered_body();
+    response_outcome = FromBeast(exchange.response()[ToBeast(kOutcomeField)]);
   }
 
   asio::awaitable<void> SendUpload(asio::ip::tcp::socket * caller_side) {
@@ -179,6 +181,16 @@
   CheckAreNoResponses(ResponsesWithInvalidFraming());
 }
 
+TEST(TargetExchange, FieldsOfATrailer_AreNotThoseOfTheHeader) {
+  const std::string response = ResponseWithTrailer(
+      "Request-Id: id-1\r\n",
+      "Greengage-Attempt: id-1\r\nGreengage-Outcome: not-run\r\n");
+  CHECK_TRUE(IsResponse({response}));
+  STRCMP_EQUAL("hello", body.c_str());
+  STRCMP_EQUAL("", response_outcome.c_str());
+  CHECK_FALSE(is_target_reusable);  // the header repeats no attempt
+}
+
 // A body that arrives after all would be taken for the next response.
 TEST(TargetExchange, BodilessResponseThatAnnouncesABody_EndsTheConnection) {
   for (const std::string& response : BodilessResponsesThatAnnounceABody()) {
