Refuse control bytes in chunk extensions of responses

A chunked response with a control byte, a line feed among them, in the quoted string of a chunk extension was taken for a response. Found while checking the framing of bodies; nobody reported it.

Cause: Beast reads a quoted string to its closing quote without looking at the bytes. Of the 41 messages of the new table it accepts the ten with such a byte; the other lines that the grammar does not permit were refused already.

Failed before: {TargetAttempt,TargetExchange,StoreCall,HttpGet}.InvalidFraming_IsNoResponse.

--- a/modules/gg_store/response_parser.h
+++ b/modules/gg_store/response_parser.h
@@ -1,8 +1,10 @@
 #ifndef GG_STORE_RESPONSE_PARSER_H_
 #define GG_STORE_RESPONSE_PARSER_H_
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <cstdint>
 #include <iterator>
 #include <optional>
 #include <utility>
@@ -20,6 +22,8 @@
 template <typename Body>
 class CheckedResponseParser : public http::response_parser<Body> {
  public:
+  CheckedResponseParser() { this->on_chunk_header(CheckChunkExtension); }
+
   /** Parses bytes; hides the function of the base class.
       @return the number of bytes used. */
   size_t put(asio::const_buffer buffer, ErrorCode& error) {
@@ -83,12 +87,26 @@
            this->get().version() >= 11;
   }
 
+  /** Refuses control bytes in the quoted strings of a chunk extension, which
+      Beast does not look at. */
+  static void CheckChunkExtension(uint64_t /*size*/,
+                                  beast::string_view extension,
+                                  ErrorCode& error) {
+    const bool is_valid =
+        std::all_of(extension.begin(), extension.end(), [](char c) {
+          const auto byte = static_cast<unsigned char>(c);
+          return byte == '\t' || (byte >= ' ' && byte != kDelete);
+        });
+    if (!is_valid) error = http::error::bad_chunk_extension;
+  }
+
   std::optional<http::response_header<>> header_;  // of a chunked response
 
   // RFC 9110, section 15.
   static constexpr unsigned kMinStatus = 100;
   static constexpr unsigned kMaxStatus = 599;
   static constexpr unsigned kNoContent = 204;
+  static constexpr unsigned char kDelete = 0x7f;
 };
 
 }  // namespace greengage
--- a/tests/entry/http_get_test.cc
+++ b/tests/entry/http_get_test.cc
@@ -56,6 +56,7 @@
 
 TEST(HttpGet, InvalidFraming_IsNoResponse) {
   CheckAreNoResponses(ResponsesWithInvalidFraming());
+  CheckAreNoResponses(ResponsesWithInvalidChunks());
 }
 
 }  // namespace
--- a/tests/entry/odd_responses.h
+++ b/tests/entry/odd_responses.h
@@ -238,6 +238,36 @@
   return responses;
 }
 
+/** Returns chunked responses whose chunks are delimited by lines that the
+    grammar does not permit (RFC 9112, section 7.1). */
+inline std::vector<std::string> ResponsesWithInvalidChunks(
+    const std::string& body = "hello") {
+  using namespace std::string_literals;
+  const std::string head =
+      std::string(kHead) + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string chunks = ChunkedBody(body);
+  const size_t size_end = chunks.find("\r\n");
+  const size_t body_end = size_end + 2 + body.size();
+  std::vector<std::string> responses;
+  for (const std::string& extension :
+       {" "s, ";"s, ";="s, ";x="s, ";x=\""s, ";x=\"\x01\""s, ";x=\"\0\""s,
+        ";x=\"\n\""s, ";x=\"a\\\n\""s, ";x=\"\x7f\""s, ";x\x01"s, ";x=a\n"s,
+        ";\r"s, " x"s, "x"s}) {
+    responses.push_back(head + std::string(chunks).insert(size_end, extension));
+    // Of the last chunk.
+    responses.push_back(
+        head + std::string(chunks).insert(chunks.size() - 4, extension));
+  }
+  for (const char* prefix : {" ", "+", "-", "0x", "\r\n", "\n", "g"}) {
+    responses.push_back(head + prefix + chunks);
+  }
+  responses.push_back(head + std::string(chunks).erase(size_end, 1));
+  responses.push_back(head + std::string(chunks).erase(body_end, 2));
+  responses.push_back(head + std::string(chunks).insert(body_end, "!"));
+  responses.push_back(head + "10000000000000005\r\n" + body + "\r\n0\r\n\r\n");
+  return responses;
+}
+
 /** Returns responses that have no body but announce one. */
 inline std::vector<std::string> BodilessResponsesThatAnnounceABody() {
   const std::string head =
@@ -262,7 +292,8 @@
   std::vector<std::string> responses;
   for (const auto& kind :
        {ResponsesWithInvalidStatusLines(), ResponsesWithInvalidFields(),
-        ResponsesWithInvalidTrailers(), ResponsesWithInvalidFraming()}) {
+        ResponsesWithInvalidTrailers(), ResponsesWithInvalidFraming(),
+        ResponsesWithInvalidChunks()}) {
     responses.insert(responses.end(), kind.begin(), kind.end());
   }
   return responses;
--- a/tests/entry/store_response_test.cc
+++ b/tests/entry/store_response_test.cc
@@ -156,6 +156,7 @@
 
 TEST(StoreCall, InvalidFraming_IsNoResponse) {
   CheckAreNoResponses(ResponsesWithInvalidFraming);
+  CheckAreNoResponses(ResponsesWithInvalidChunks);
   CheckAreNoWatches(ResponsesWithInvalidFraming);
 }
 
--- a/tests/entry/target_attempt_test.cc
+++ b/tests/entry/target_attempt_test.cc
@@ -233,6 +233,7 @@
 
 TEST(TargetAttempt, InvalidFraming_IsNoResponse) {
   CheckAreNoResponses(ResponsesWithInvalidFraming());
+  CheckAreNoResponses(ResponsesWithInvalidChunks());
 }
 
 TEST(TargetAttempt, FieldsOfATrailer_AreNotThoseOfTheHeader) {
--- a/tests/entry/target_exchange_test.cc
+++ b/tests/entry/target_exchange_test.cc
@@ -179,6 +179,7 @@
 
 TEST(TargetExchange, InvalidFraming_IsNoResponse) {
   CheckAreNoResponses(ResponsesWithInvalidFraming());
+  CheckAreNoResponses(ResponsesWithInvalidChunks());
 }
 
 TEST(TargetExchange, FieldsOfATrailer_AreNotThoseOfTheHeader) {
