Bound the header of every message as a whole

A target that sent short lines of a header without end was read until the caller's time limit, and every line was kept: nothing bounded the memory of the machine (reported by another operator; it can happen here). So did a caller's lines. The interim responses before a final one had the same fault.

Hypotheses: (1) the limit is missing for some readers; (2) the limit holds for each call of the parser, not for the header. One line without end is refused by all readers, which speaks against the first. The second shows when the reads end one byte behind the start of a line: the parser then keeps the lines, forgets how long they were, and does not enter the mode in which it waits for the whole header. Reads that end with a line are refused at the limit.

BoundedParser counts the bytes of the header over all calls, and the fields: 64 KiB and 1,000 fields for a response, the configured limit (431) for a request. Both daemons, the clients of the stores and greengagectl use it.

Failed before: {TargetAttempt,TargetExchange}.ResponseWithoutEnd_..., {HttpSession,TrafficServer}.HeaderWithoutEnd_IsRefused.

--- a/modules/gg_entry/http_session.h
+++ b/modules/gg_entry/http_session.h
@@ -123,7 +123,7 @@
   Options options_;
   std::string peer_;
   ConnectionInput input_;
-  std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<BoundedParser<true, http::string_body>> parser_;
   std::optional<SessionResponse> response_;
   std::function<void()> on_caller_gone_;
   Phase phase_ = Phase::kIdle;
--- a/modules/gg_entry/target_attempt.cc
+++ b/modules/gg_entry/target_attempt.cc
@@ -9,8 +9,6 @@
 namespace greengage {
 namespace {
 
-constexpr uint32_t kMaxResponseHeaderBytes = 64 * 1024;
-
 /** Largest response body, as responses are held in memory. */
 constexpr uint64_t kMaxResponseBodyBytes = 16 * 1024 * 1024;
 
@@ -97,7 +95,6 @@
 
 void TargetAttempt::BeginResponse() {
   parser_.emplace();
-  parser_->header_limit(kMaxResponseHeaderBytes);
   parser_->body_limit(kMaxResponseBodyBytes);
   if (request_->method() == http::verb::head) parser_->skip(true);
   parser_->eager(true);
--- a/modules/gg_http/http_types.h
+++ b/modules/gg_http/http_types.h
@@ -16,7 +16,7 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-using RequestParser = http::request_parser<http::buffer_body>;
+using RequestParser = BoundedParser<true, http::buffer_body>;
 using ResponseParser = CheckedResponseParser<http::buffer_body>;
 using RequestHeader = http::request_header<>;
 using ResponseHeader = http::response_header<>;
--- a/modules/gg_http/target_exchange.cc
+++ b/modules/gg_http/target_exchange.cc
@@ -11,8 +11,6 @@
 namespace greengage {
 namespace {
 
-constexpr uint32_t kMaxResponseHeaderBytes = 64 * 1024;
-
 /** Interim responses that are read before a response. A target sends at most a
     few. */
 constexpr int kMaxInterimResponses = 16;
@@ -100,7 +98,6 @@
   ErrorCode error;
   for (int interim_responses = 0;; ++interim_responses) {
     parser_.emplace();
-    parser_->header_limit(kMaxResponseHeaderBytes);
     parser_->body_limit(kUnlimitedBody);
     if (options_.request->get().method() == http::verb::head) {
       parser_->skip(true);
--- a/modules/gg_store/gg_store.h
+++ b/modules/gg_store/gg_store.h
@@ -11,6 +11,7 @@
 */
 
 #include "gg_store/asio.h"
+#include "gg_store/bounded_parser.h"
 #include "gg_store/message_parsing.h"
 #include "gg_store/response_parser.h"
 #include "gg_store/store_client.h"
--- a/modules/gg_store/response_parser.h
+++ b/modules/gg_store/response_parser.h
@@ -3,13 +3,12 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <cstdint>
 #include <iterator>
 #include <optional>
 #include <utility>
 
-#include "gg_store/message_parsing.h"
+#include "gg_store/bounded_parser.h"
 
 namespace greengage {
 
@@ -20,7 +19,7 @@
     Pass it to the functions of message_parsing.h. The functions of Beast would
     call the base class, which checks nothing. */
 template <typename Body>
-class CheckedResponseParser : public http::response_parser<Body> {
+class CheckedResponseParser : public BoundedParser<false, Body> {
  public:
   CheckedResponseParser() { this->on_chunk_header(CheckChunkExtension); }
 
@@ -44,14 +43,10 @@
   }
 
  private:
-  using Base = http::response_parser<Body>;
+  using Base = BoundedParser<false, Body>;
 
   size_t PutHeader(asio::const_buffer buffer, ErrorCode& error) {
-    // Without `eager`, Beast returns at the end of the header.
-    const bool is_eager = this->eager();
-    this->eager(false);
     const size_t used = Base::put(buffer, error);
-    this->eager(is_eager);
     if (error || !this->is_header_done()) return used;
     error = CheckHeader();
     if (this->chunked()) header_ = this->get().base();
--- a/tests/entry/http_session_test.cc
+++ b/tests/entry/http_session_test.cc
@@ -1,6 +1,7 @@
 #include <thread>
 #include <vector>
 
+#include "entry/odd_responses.h"
 #include "gg_entry/http_listener.h"
 #include "unit/test_support.h"
 
@@ -109,6 +110,15 @@
   CHECK_TRUE(ReadResponse().starts_with("HTTP/1.1 400"));
 }
 
+// A header of short lines was taken without a limit.
+TEST(HttpSession, HeaderWithoutEnd_IsRefused) {
+  std::thread server([this] { io.run_for(std::chrono::seconds(5)); });
+  const std::string response = SendHeaderWithoutEnd(&caller);
+  io.stop();
+  server.join();
+  CHECK_TRUE(response.starts_with("HTTP/1.1 431"));
+}
+
 TEST(HttpSession, IdleConnection_IsClosed) {
   listener.CloseIdle();
   STRCMP_EQUAL("", ReadResponse().c_str());
--- a/tests/entry/odd_responses.h
+++ b/tests/entry/odd_responses.h
@@ -1,9 +1,12 @@
 #ifndef TESTS_ENTRY_ODD_RESPONSES_H_
 #define TESTS_ENTRY_ODD_RESPONSES_H_
 
+#include <poll.h>
+
 #include <boost/asio/write.hpp>
 #include <sstream>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "gg_store/asio.h"
@@ -287,6 +290,99 @@
   return std::string(response).insert(response.size() - 2, trailer_fields);
 }
 
+/** A message that goes on until its reader closes the connection. */
+struct EndlessMessage {
+  std::string start;
+  std::string repeated;
+};
+
+/** The most that a reader may take of a message without end: the longest body,
+    and what the connection buffers. */
+inline constexpr size_t kMaxEndlessBytes = 32 * 1024 * 1024;
+
+/** Returns responses without an end of the header, the framing or the trailer.
+    Lines are sent one at a time, so that reads end with them, or one byte after
+    them. */
+inline std::vector<EndlessMessage> EndlessResponses() {
+  const std::string text(16 * 1024, 'a');
+  const std::string line = "X-Pad: aaaaaaa\r\n";
+  const std::string head = kHead;
+  const std::string chunked_head = head + "Transfer-Encoding: chunked\r\n\r\n";
+  return {{"", text},
+          {"HTTP/1.1 200 ", text},
+          {head + "X-Pad: ", text},
+          {head + "X-Pad", text},
+          {head, line},
+          {head, line + line + line + line},
+          {head + "X", "-Pad: aaaaaaa\r\nX"},
+          {head, " " + text + "\r\n"},
+          {"", InterimHead("103")},
+          {"HTTP/1.1 103 Wait\r\n", line},
+          {"HTTP/1.1 103 Wait\r\nX", "-Pad: aaaaaaa\r\nX"},
+          {chunked_head, std::string(16 * 1024, '0')},
+          {chunked_head + "5;x=", text},
+          {chunked_head + "5\r\nhello\r\n0;x=\"", text},
+          {chunked_head + "5\r\nhello\r\n0\r\nX-Pad: ", text},
+          {chunked_head + "5\r\nhello\r\n0\r\n", line}};
+}
+
+/** Returns responses whose body has no end. */
+inline std::vector<EndlessMessage> EndlessBodies() {
+  const std::string head = kHead;
+  const std::string text(0x4000, 'a');
+  return {
+      {head + "\r\n", text},
+      {head + "Content-Length: 1000000000000\r\n\r\n", text},
+      {head + "Transfer-Encoding: chunked\r\n\r\n", "4000\r\n" + text + "\r\n"},
+      {head + "Transfer-Encoding: chunked\r\n\r\nffffffffff\r\n", text}};
+}
+
+/** Sends a request whose header has no end, in lines as EndlessResponses(),
+   until the server responds or a megabyte is sent.
+    @return the first bytes of the response; empty without one in 5 s. */
+inline std::string SendHeaderWithoutEnd(asio::ip::tcp::socket* socket) {
+  constexpr int kMaxLines = 64 * 1024;
+  ErrorCode error;
+  socket->set_option(asio::ip::tcp::no_delay(true), error);
+  std::string text = "GET /read/ HTTP/1.1\r\nHost: shop\r\nX";
+  for (int i = 0; i < kMaxLines && socket->available(error) == 0; ++i) {
+    asio::write(*socket, asio::buffer(text), error);
+    if (error) break;
+    // The first line is read on its own.
+    if (i == 0) std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    text = "-Pad: aaaaaaa\r\nX";
+  }
+  constexpr int kWaitMs = 5000;
+  pollfd readable{.fd = socket->native_handle(), .events = POLLIN};
+  if (::poll(&readable, 1, kWaitMs) <= 0) return "";
+  std::string response(64, '\0');
+  response.resize(socket->read_some(asio::buffer(response), error));
+  return response;
+}
+
+/** Accepts one connection and sends `message` until the reader closes the
+    connection or has got kMaxEndlessBytes.
+    @param sent_bytes  receives the number of bytes sent. */
+inline asio::awaitable<void> SendWithoutEnd(asio::ip::tcp::acceptor* acceptor,
+                                            EndlessMessage message,
+                                            size_t* sent_bytes) {
+  *sent_bytes = 0;
+  ErrorCode error;
+  asio::ip::tcp::socket socket(co_await asio::this_coro::executor);
+  co_await acceptor->async_accept(socket, Await(&error));
+  const std::string* next = &message.start;
+  while (!error && *sent_bytes < kMaxEndlessBytes) {
+    *sent_bytes +=
+        co_await asio::async_write(socket, asio::buffer(*next), Await(&error));
+    next = &message.repeated;
+  }
+  // Keeps the connection open until the reader closes it.
+  std::string discarded(4096, '\0');
+  while (!error) {
+    co_await socket.async_read_some(asio::buffer(discarded), Await(&error));
+  }
+}
+
 /** Returns messages that are no response, of every kind. */
 inline std::vector<std::string> BrokenResponses() {
   std::vector<std::string> responses;
--- a/tests/entry/target_attempt_test.cc
+++ b/tests/entry/target_attempt_test.cc
@@ -168,6 +168,24 @@
   CHECK_FALSE(outcome->response.has_value());
 }
 
+// Reported by another operator: bytes that were no response, without end,
+// filled the memory of the machine.
+TEST(TargetAttempt, ResponseWithoutEnd_FailsTheAttemptEarly) {
+  std::vector<EndlessMessage> messages = EndlessResponses();
+  for (const EndlessMessage& body : EndlessBodies()) messages.push_back(body);
+  for (const EndlessMessage& message : messages) {
+    outcome.reset();
+    is_endless = false;
+    asio::co_spawn(io, SendWithoutEnd(&acceptor, message, &sent_bytes),
+                   asio::detached);
+    RunAttempt();
+    io.run_for(std::chrono::milliseconds(10));
+    CHECK_TRUE_TEXT(outcome.has_value(), message.repeated.c_str());
+    CHECK_FALSE(outcome->response.has_value());
+    CHECK_TRUE_TEXT(sent_bytes < kMaxEndlessBytes, message.repeated.c_str());
+  }
+}
+
 // Attempts that each stay below the limit of one response must not exhaust the
 // memory together.
 TEST(TargetAttempt, BodyWithoutEnd_StaysWithinTheBudgetOfAllAttempts) {
--- a/tests/entry/target_exchange_test.cc
+++ b/tests/entry/target_exchange_test.cc
@@ -192,6 +192,22 @@
   CHECK_FALSE(is_target_reusable);  // the header repeats no attempt
 }
 
+// As on greengage_entry. A body without end is passed on as it arrives.
+TEST(TargetExchange, ResponseWithoutEnd_FailsTheExchangeEarly) {
+  for (const EndlessMessage& message : EndlessResponses()) {
+    size_t sent_bytes = 0;
+    status = absl::InternalError("not run");
+    io.restart();
+    asio::co_spawn(io, SendWithoutEnd(&target_acceptor, message, &sent_bytes),
+                   asio::detached);
+    asio::co_spawn(io, RunExchange(), asio::detached);
+    io.run_for(std::chrono::seconds(5));
+    CHECK_FALSE_TEXT(status.ok(), message.repeated.c_str());
+    CHECK_TRUE_TEXT(MessageOf(status) != "not run", message.repeated.c_str());
+    CHECK_TRUE_TEXT(sent_bytes < kMaxEndlessBytes, message.repeated.c_str());
+  }
+}
+
 // A body that arrives after all would be taken for the next response.
 TEST(TargetExchange, BodilessResponseThatAnnouncesABody_EndsTheConnection) {
   for (const std::string& response : BodilessResponsesThatAnnounceABody()) {
--- a/tests/entry/traffic_server_test.cc
+++ b/tests/entry/traffic_server_test.cc
@@ -5,6 +5,7 @@
 #include <thread>
 #include <vector>
 
+#include "entry/odd_responses.h"
 #include "unit/test_support.h"
 
 namespace greengage {
@@ -83,5 +84,13 @@
   server.Stop();
 }
 
+// A header of short lines was taken without a limit.
+TEST(TrafficServer, HeaderWithoutEnd_IsRefused) {
+  CHECK_TRUE(server.Start().ok());
+  asio::ip::tcp::socket caller = Connect();
+  CHECK_TRUE(SendHeaderWithoutEnd(&caller).starts_with("HTTP/1.1 431"));
+  server.Stop();
+}
+
 }  // namespace
 }  // namespace greengage
