Bound what the clients of the stores and greengagectl buffer

The rest of a chunk's size, of its extension or of a trailer was buffered without a limit by both clients of the stores and by greengagectl, until the time limit of the call.

Cause: the buffers of these connections had no maximum. Those of targets and callers have one, kMaxUnparsedBytes (128 KiB), which moves to gg_store and now holds for every connection. Beyond it the call fails.

Failed before: {StoreCall,HttpGet}.ResponseWithoutEnd_EndsTheCallEarly.

--- a/modules/gg_ctl/http_get.cc
+++ b/modules/gg_ctl/http_get.cc
@@ -25,7 +25,7 @@
   request.keep_alive(false);
   co_await http::async_write(stream, request, Await(error));
   if (*error) co_return;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxUnparsedBytes};
   CheckedResponseParser<http::string_body> parser;
   *error = co_await ReadMessage(&stream, &buffer, &parser);
   if (!*error) *response = parser.release();
--- a/modules/gg_http/http_types.h
+++ b/modules/gg_http/http_types.h
@@ -29,11 +29,6 @@
     before it is sent to the caller. */
 inline constexpr size_t kMaxBufferedBodyBytes = 64 * 1024;
 
-/** Most bytes of a connection that are buffered because they can't be parsed
-   yet: a part of a header, or of the framing between two chunks of a body,
-   which has no limit in Beast. */
-inline constexpr size_t kMaxUnparsedBytes = 128 * 1024;
-
 /** Body limit for parsers that accept a body of any length. Beast in Boost 1.74
     rejects every body if the limit is boost::none. */
 inline constexpr uint64_t kUnlimitedBody = std::numeric_limits<uint64_t>::max();
--- a/modules/gg_store/message_parsing.h
+++ b/modules/gg_store/message_parsing.h
@@ -16,6 +16,11 @@
 /** Largest part of a message that is read at once. */
 inline constexpr size_t kMaxReadBytes = 64 * 1024;
 
+/** Most bytes of a connection that are buffered because they can't be parsed
+    yet: a part of a header, or of the framing between two chunks of a body,
+    which has no limit in Beast. */
+inline constexpr size_t kMaxUnparsedBytes = 128 * 1024;
+
 /** Returns true for an interim response (1xx), whether or not Beast knows its
     status. Another response to the same request follows. */
 inline bool IsInterim(unsigned status) { return status / 100 == 1; }
--- a/modules/gg_store/store_client.cc
+++ b/modules/gg_store/store_client.cc
@@ -48,7 +48,7 @@
   explicit Connection(const asio::any_io_executor& executor)
       : stream(executor) {}
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxUnparsedBytes};
   std::string address;
 };
 
--- a/tests/entry/http_get_test.cc
+++ b/tests/entry/http_get_test.cc
@@ -32,6 +32,19 @@
     return body;
   }
 
+  /** Checks that a call of a daemon that sends `message` fails early. */
+  void CheckEndsEarly(const EndlessMessage& message) {
+    size_t sent_bytes = 0;
+    io.restart();
+    asio::co_spawn(io, SendWithoutEnd(&acceptor, message, &sent_bytes),
+                   asio::detached);
+    std::thread daemon([this] { io.run(); });
+    const auto body = HttpGet(kAddress, "/status", std::chrono::seconds(2));
+    daemon.join();
+    CHECK_FALSE_TEXT(body.ok(), message.Name().c_str());
+    CHECK_TRUE_TEXT(sent_bytes < kMaxEndlessBytes, message.Name().c_str());
+  }
+
   void CheckAreNoResponses(const std::vector<std::string>& responses) {
     for (const std::string& response : responses) {
       CHECK_FALSE_TEXT(Get(response).ok(), response.c_str());
@@ -59,5 +72,15 @@
   CheckAreNoResponses(ResponsesWithInvalidChunks());
 }
 
+// As of targets: bytes without end must not fill the memory.
+TEST(HttpGet, ResponseWithoutEnd_EndsTheCallEarly) {
+  for (const EndlessMessage& message : EndlessResponses()) {
+    CheckEndsEarly(message);
+  }
+  for (const EndlessMessage& message : EndlessBodies()) {
+    CheckEndsEarly(message);
+  }
+}
+
 }  // namespace
 }  // namespace greengage
--- a/tests/entry/odd_responses.h
+++ b/tests/entry/odd_responses.h
@@ -294,6 +294,13 @@
 struct EndlessMessage {
   std::string start;
   std::string repeated;
+
+  /** Returns the end of the start and the beginning of what is repeated. */
+  std::string Name() const {
+    constexpr size_t kLength = 40;
+    const size_t begin = start.size() > kLength ? start.size() - kLength : 0;
+    return start.substr(begin) + " | " + repeated.substr(0, kLength);
+  }
 };
 
 /** The most that a reader may take of a message without end: the longest body,
--- a/tests/entry/store_response_test.cc
+++ b/tests/entry/store_response_test.cc
@@ -111,6 +111,42 @@
     return has_change;
   }
 
+  /** Checks that `call` returns before a service that sends `message` has sent
+      more than a response may have. */
+  template <typename MakeCall>
+  void CheckEndsEarly(const EndlessMessage& message, const MakeCall& call) {
+    absl::Status status = absl::InternalError("did not return");
+    size_t sent_bytes = 0;
+    io.restart();
+    asio::co_spawn(io, SendWithoutEnd(&acceptor, message, &sent_bytes),
+                   asio::detached);
+    asio::co_spawn(
+        io, [&]() -> asio::awaitable<void> { status = co_await call(); },
+        asio::detached);
+    io.run_for(std::chrono::seconds(8));
+    CHECK_FALSE_TEXT(status.ok(), message.Name().c_str());
+    CHECK_TRUE_TEXT(MessageOf(status) != "did not return",
+                    message.Name().c_str());
+    CHECK_TRUE_TEXT(sent_bytes < kMaxEndlessBytes, message.Name().c_str());
+  }
+
+  void CheckCallsEndEarly(const EndlessMessage& message) {
+    platform::PlatformStore platform_store(&io, {.address = kStoreAddress});
+    CheckEndsEarly(message, [&]() -> asio::awaitable<absl::Status> {
+      auto page = co_await platform_store.ReadPage("op/", "");
+      co_return page.status();
+    });
+    StoreClient store(&io, {.addresses = {kStoreAddress}});
+    CheckEndsEarly(message, [&]() -> asio::awaitable<absl::Status> {
+      auto result = co_await store.Get("key");
+      co_return result.status();
+    });
+    CheckEndsEarly(message, [&]() -> asio::awaitable<absl::Status> {
+      co_return co_await store.Watch("key", 1, std::chrono::seconds(2),
+                                     [](const StoreReadResult&) {});
+    });
+  }
+
   using MakeResponses = std::vector<std::string> (*)(const std::string& body);
 
   /** Checks that no call takes any of the responses, made by `make_responses`
@@ -160,6 +196,13 @@
   CheckAreNoWatches(ResponsesWithInvalidFraming);
 }
 
+// As of targets: bytes without end must not fill the memory.
+TEST(StoreCall, ResponseWithoutEnd_EndsTheCallEarly) {
+  for (const EndlessMessage& message : EndlessResponses()) {
+    CheckCallsEndEarly(message);
+  }
+}
+
 // As review/2: the stores' clients parsed responses without a guard as well.
 TEST(StoreResponse, OddEndOfAResponse_FailsTheCallOfThePlatformsStoreOnly) {
   for (const std::vector<std::string>& parts : OddChunkedResponses()) {
--- a/tests/entry/target_attempt_test.cc
+++ b/tests/entry/target_attempt_test.cc
@@ -180,9 +180,9 @@
                    asio::detached);
     RunAttempt();
     io.run_for(std::chrono::milliseconds(10));
-    CHECK_TRUE_TEXT(outcome.has_value(), message.repeated.c_str());
+    CHECK_TRUE_TEXT(outcome.has_value(), message.Name().c_str());
     CHECK_FALSE(outcome->response.has_value());
-    CHECK_TRUE_TEXT(sent_bytes < kMaxEndlessBytes, message.repeated.c_str());
+    CHECK_TRUE_TEXT(sent_bytes < kMaxEndlessBytes, message.Name().c_str());
   }
 }
 
--- a/tests/entry/target_exchange_test.cc
+++ b/tests/entry/target_exchange_test.cc
@@ -202,9 +202,9 @@
                    asio::detached);
     asio::co_spawn(io, RunExchange(), asio::detached);
     io.run_for(std::chrono::seconds(5));
-    CHECK_FALSE_TEXT(status.ok(), message.repeated.c_str());
-    CHECK_TRUE_TEXT(MessageOf(status) != "not run", message.repeated.c_str());
-    CHECK_TRUE_TEXT(sent_bytes < kMaxEndlessBytes, message.repeated.c_str());
+    CHECK_FALSE_TEXT(status.ok(), message.Name().c_str());
+    CHECK_TRUE_TEXT(MessageOf(status) != "not run", message.Name().c_str());
+    CHECK_TRUE_TEXT(sent_bytes < kMaxEndlessBytes, message.Name().c_str());
   }
 }
 
