Search a watch's response for the end of a line once

A watch whose response had no end of a line kept the thread of greengaged busy: each part that arrived was searched with all that had arrived before. 16 MiB, after which the watch ends, were not reached in 8 s. Found by the tests of messages without end.

Only the new part is searched now, and the lines are removed together.

Failed before: StoreCall.BodyWithoutEnd_EndsTheCallEarly.

--- a/modules/gg_store/store_client.cc
+++ b/modules/gg_store/store_client.cc
@@ -31,14 +31,18 @@
 }
 
 /** Removes the complete lines from the front of `text` and returns those that
-    are not empty. */
-std::vector<std::string> TakeLines(std::string* text) {
+    are not empty.
+    @param searched_bytes  length of the front that is known to hold no end of a
+                           line. */
+std::vector<std::string> TakeLines(std::string* text, size_t searched_bytes) {
   std::vector<std::string> lines;
-  size_t end = 0;
-  while ((end = text->find('\n')) != std::string::npos) {
-    if (end > 0) lines.push_back(text->substr(0, end));
-    text->erase(0, end + 1);
+  size_t begin = 0;
+  size_t end = text->find('\n', searched_bytes);
+  for (; end != std::string::npos; end = text->find('\n', begin)) {
+    if (end > begin) lines.push_back(text->substr(begin, end - begin));
+    begin = end + 1;
   }
+  text->erase(0, begin);
   return lines;
 }
 
@@ -119,9 +123,10 @@
     error = co_await ReadMessageSome(&connection->stream, &connection->buffer,
                                      &parser);
     if (error == http::error::need_buffer) error = {};
+    const size_t searched_bytes = pending.size();
     pending.append(chunk.data(), chunk.size() - parser.get().body().size);
-    if (pending.size() > kMaxResponseBytes) break;
-    for (const std::string& line : TakeLines(&pending)) {
+    if (pending.size() > kMaxResponseBytes) error = http::error::body_limit;
+    for (const std::string& line : TakeLines(&pending, searched_bytes)) {
       const auto changes = DecodeWatchLine(line, connection->address);
       if (!changes.ok()) {
         watch_connection_ = nullptr;
--- a/tests/entry/store_response_test.cc
+++ b/tests/entry/store_response_test.cc
@@ -203,6 +203,12 @@
   }
 }
 
+TEST(StoreCall, BodyWithoutEnd_EndsTheCallEarly) {
+  for (const EndlessMessage& message : EndlessBodies()) {
+    CheckCallsEndEarly(message);
+  }
+}
+
 // As review/2: the stores' clients parsed responses without a guard as well.
 TEST(StoreResponse, OddEndOfAResponse_FailsTheCallOfThePlatformsStoreOnly) {
   for (const std::vector<std::string>& parts : OddChunkedResponses()) {
