Count headers and unparsed bytes against the memory for responses

The budget that all attempts of an entry daemon share counted bodies only. Headers, and bytes that can't be parsed yet, were bounded for each connection (64 and 128 KiB), but not for all of them together. Found while bounding messages without end.

An attempt takes from the budget what it holds of its response: header, body and unparsed bytes, and returns what an interim response held.

Failed before: TargetAttempt.HeaderAndFraming_StayWithinTheBudgetOfAllAttempts. The reason that the budget's other test expects has a new wording, as it no longer concerns bodies alone.

--- a/modules/gg_entry/entry_traffic.cc
+++ b/modules/gg_entry/entry_traffic.cc
@@ -20,7 +20,7 @@
     them in windows of their own. */
 constexpr double kUsedRetryFraction = 0.8;
 
-/** Fraction of the host's memory for response bodies that are being read. */
+/** Fraction of the host's memory for responses that are being read. */
 constexpr double kResponseMemoryFraction = 0.25;
 
 std::vector<std::string> DistinctRegions(const EntrySettings& settings) {
--- a/modules/gg_entry/target_attempt.cc
+++ b/modules/gg_entry/target_attempt.cc
@@ -130,9 +130,8 @@
     FailOddMessage(error.message());
   } else if (error && error != http::error::need_more) {
     Fail(AttemptFault::kMayHaveRun, absl::StrCat("receive: ", error.message()));
-  } else if (!TakeBodyBytes()) {
-    Fail(AttemptFault::kMayHaveRun,
-         "receive: no memory left for response bodies");
+  } else if (!TakeResponseBytes()) {
+    Fail(AttemptFault::kMayHaveRun, "receive: no memory left for responses");
   } else if (parser_->is_done()) {
     OnResponse();
   } else {
@@ -140,14 +139,22 @@
   }
 }
 
-bool TargetAttempt::TakeBodyBytes() {
-  const size_t growth = parser_->get().body().size() - taken_bytes_;
-  if (!options_.response_budget->TryTake(growth)) return false;
-  taken_bytes_ += growth;
+bool TargetAttempt::TakeResponseBytes() {
+  const size_t held_bytes = parser_->header_bytes() +
+                            parser_->get().body().size() +
+                            connection_->buffer.size();
+  if (held_bytes > taken_bytes_ &&
+      !options_.response_budget->TryTake(held_bytes - taken_bytes_)) {
+    return false;
+  }
+  if (held_bytes < taken_bytes_) {
+    options_.response_budget->Return(taken_bytes_ - held_bytes);
+  }
+  taken_bytes_ = held_bytes;
   return true;
 }
 
-void TargetAttempt::ReturnBodyBytes() {
+void TargetAttempt::ReturnResponseBytes() {
   options_.response_budget->Return(taken_bytes_);
   taken_bytes_ = 0;
 }
@@ -194,7 +201,7 @@
 }
 
 void TargetAttempt::Finish(AttemptOutcome outcome) {
-  ReturnBodyBytes();
+  ReturnResponseBytes();
   outcome.used_pooled_connection = uses_pooled_connection_;
   const auto on_done = std::move(options_.on_done);
   const bool is_reusable = outcome.reusable_connection != nullptr;
@@ -208,7 +215,7 @@
 }
 
 void TargetAttempt::Cancel() {
-  ReturnBodyBytes();
+  ReturnResponseBytes();
   is_done_ = true;
   options_.on_done = nullptr;
   options_.make_request = nullptr;
--- a/modules/gg_entry/target_attempt.h
+++ b/modules/gg_entry/target_attempt.h
@@ -45,7 +45,7 @@
         without a call of `on_done`. */
     std::function<std::shared_ptr<const TargetRequest>()> make_request;
     Duration connect_timeout{};
-    /** Limits the response bodies that are read at the same time. Not owned. */
+    /** Limits the responses that are read at the same time. Not owned. */
     ByteBudget* response_budget = nullptr;
     std::function<void(AttemptOutcome outcome)> on_done;  // called once
   };
@@ -74,9 +74,9 @@
       @param error  http::error::need_more if the response isn't complete. */
   void OnParsed(const ErrorCode& error);
   void OnResponse();
-  /** Takes the bytes by which the body has grown from the budget. */
-  bool TakeBodyBytes();
-  void ReturnBodyBytes();
+  /** Takes the bytes by which the response has grown from the budget. */
+  bool TakeResponseBytes();
+  void ReturnResponseBytes();
   void Fail(AttemptFault fault, const std::string& reason,
             bool is_connection_refused = false);
   /** Fails the attempt because of what the target has sent. */
--- a/tests/entry/target_attempt_test.cc
+++ b/tests/entry/target_attempt_test.cc
@@ -195,12 +195,30 @@
   Run("HTTP/1.1 200 OK\r\n\r\n", std::string(64 * 1024, 'a'));
   CHECK_TRUE(outcome.has_value());
   CHECK_FALSE(outcome->response.has_value());
-  STRCMP_EQUAL("receive: no memory left for response bodies",
+  STRCMP_EQUAL("receive: no memory left for responses",
                outcome->reason.c_str());
   // The bytes of the failed attempt are available again.
   CHECK_TRUE(response_budget.TryTake(1024 * 1024));
 }
 
+TEST(TargetAttempt, HeaderAndFraming_StayWithinTheBudgetOfAllAttempts) {
+  constexpr size_t kLimit = 40 * 1024;
+  response_budget = ByteBudget(kLimit);
+  const std::string chunked =
+      std::string(kHead) + "Transfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& start :
+       {std::string(kHead) + "X: ", std::string("HTTP/1.1 103 Wait\r\nX: "),
+        chunked + "5;x=", chunked + "0\r\nX: "}) {
+    outcome.reset();
+    Run(start, std::string(16 * 1024, 'a'));
+    CHECK_TRUE(outcome.has_value());
+    STRCMP_EQUAL("receive: no memory left for responses",
+                 outcome->reason.c_str());
+    CHECK_TRUE(response_budget.TryTake(kLimit));
+    response_budget.Return(kLimit);
+  }
+}
+
 TEST(TargetAttempt, BodyWithoutEnd_FailsTheAttempt) {
   Run("HTTP/1.1 200 OK\r\n\r\n", std::string(64 * 1024, 'a'));
   CHECK_TRUE(outcome.has_value());
