Skip interim responses of the stores and of daemons' admin addresses

Both clients of the stores and greengagectl took an interim response for the response to their call: a write that had been done was reported as failed, a watch ended. Found while checking interim responses; a test had only kept the connection from being used again, and expected the call to fail.

ReadFinalResponse() skips up to 16 interim responses (RFC 9110, section 15.2) and refuses a switch of protocols; TargetExchange, which had a loop of its own, uses it, too.

StoreResponse.InterimResponse_EndsTheConnection expected both calls to fail, which is wrong for a response that the standard permits. In its place both calls must succeed on one connection (InterimResponse_LeavesTheConnectionInOrder).

Failed before: that test, {StoreCall,HttpGet}.InterimResponse_IsFollowedByTheResponse.

--- a/modules/gg_ctl/http_get.cc
+++ b/modules/gg_ctl/http_get.cc
@@ -7,7 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "gg_core/errors.h"
 #include "gg_store/asio.h"
-#include "gg_store/response_parser.h"
+#include "gg_store/response_reading.h"
 
 namespace greengage {
 namespace {
@@ -26,9 +26,11 @@
   co_await http::async_write(stream, request, Await(error));
   if (*error) co_return;
   beast::flat_buffer buffer{kMaxUnparsedBytes};
-  CheckedResponseParser<http::string_body> parser;
-  *error = co_await ReadMessage(&stream, &buffer, &parser);
-  if (!*error) *response = parser.release();
+  std::optional<CheckedResponseParser<http::string_body>> parser;
+  *error = co_await ReadFinalResponse(
+      &stream, &buffer, &parser,
+      [](CheckedResponseParser<http::string_body>*) {});
+  if (!*error) *response = parser->release();
 }
 
 }  // namespace
--- a/modules/gg_entry/target_attempt.cc
+++ b/modules/gg_entry/target_attempt.cc
@@ -4,7 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "gg_http/header_policy.h"
-#include "gg_store/message_parsing.h"
+#include "gg_store/response_reading.h"
 
 namespace greengage {
 namespace {
@@ -12,10 +12,6 @@
 /** Largest response body, as responses are held in memory. */
 constexpr uint64_t kMaxResponseBodyBytes = 16 * 1024 * 1024;
 
-/** Interim responses that are read before a response. A target sends at most a
-    few. */
-constexpr int kMaxInterimResponses = 16;
-
 /** Time without an acknowledgement after which a connection with unacknowledged
     bytes is closed. It is five times the longest round trip of present
     deployments, which leaves room for two lost packets. */
--- a/modules/gg_http/header_policy.h
+++ b/modules/gg_http/header_policy.h
@@ -10,9 +10,6 @@
     names, Expect, and Content-Length, which the sender of the copy sets. */
 void CopyEndToEndFields(const http::fields& from, http::fields* to);
 
-/** Status of a response that ends HTTP on its connection. */
-inline constexpr unsigned kSwitchingProtocols = 101;
-
 /** Returns true if responses with `status` never have a body (1xx, 204, 304).
  */
 bool IsBodyless(unsigned status);
--- a/modules/gg_http/target_exchange.cc
+++ b/modules/gg_http/target_exchange.cc
@@ -6,15 +6,11 @@
 
 #include "gg_core/errors.h"
 #include "gg_http/header_policy.h"
-#include "gg_store/message_parsing.h"
+#include "gg_store/response_reading.h"
 
 namespace greengage {
 namespace {
 
-/** Interim responses that are read before a response. A target sends at most a
-    few. */
-constexpr int kMaxInterimResponses = 16;
-
 template <bool kIsRequest, typename Body>
 void CopyHeader(const http::header<kIsRequest, http::fields>& from,
                 http::message<kIsRequest, Body>* to) {
@@ -95,41 +91,23 @@
         options_.caller, options_.target);
     disconnect_monitor_->Start();
   }
-  ErrorCode error;
-  for (int interim_responses = 0;; ++interim_responses) {
-    parser_.emplace();
-    parser_->body_limit(kUnlimitedBody);
-    if (options_.request->get().method() == http::verb::head) {
-      parser_->skip(true);
-    }
-    ApplyDeadline();
-    error = co_await ReadMessageHeader(&options_.target->stream,
-                                       &options_.target->buffer, &*parser_);
-    if (error) co_return MakeError(Step::kForwardReceive, error);
-    const unsigned status = parser_->get().result_int();
-    if (status == kSwitchingProtocols) {
-      co_return StepError(absl::StatusCode::kUnknown, Step::kForwardReceive,
-                          options_.target->address,
-                          "the target switched protocols unasked");
-    }
-    const bool is_interim = IsInterim(status);
-    has_stale_response_ =
-        !is_interim && options_.is_reused_connection && !RepeatsAttemptId();
-    if (has_stale_response_) {
-      co_return StepError(absl::StatusCode::kUnknown, Step::kForwardReceive,
-                          options_.target->address,
-                          "the response is to an earlier request");
-    }
-    if (!is_interim) {
-      has_response_ = true;
-      co_return absl::OkStatus();
-    }
-    if (interim_responses == kMaxInterimResponses) {
-      co_return StepError(absl::StatusCode::kUnknown, Step::kForwardReceive,
-                          options_.target->address,
-                          "too many interim responses");
-    }
+  ApplyDeadline();
+  const bool is_head = options_.request->get().method() == http::verb::head;
+  const ErrorCode error = co_await ReadFinalResponseHeader(
+      &options_.target->stream, &options_.target->buffer, &parser_,
+      [is_head](ResponseParser* parser) {
+        parser->body_limit(kUnlimitedBody);
+        parser->skip(is_head);
+      });
+  if (error) co_return MakeError(Step::kForwardReceive, error);
+  has_stale_response_ = options_.is_reused_connection && !RepeatsAttemptId();
+  if (has_stale_response_) {
+    co_return StepError(absl::StatusCode::kUnknown, Step::kForwardReceive,
+                        options_.target->address,
+                        "the response is to an earlier request");
   }
+  has_response_ = true;
+  co_return absl::OkStatus();
 }
 
 asio::awaitable<absl::Status> TargetExchange::BufferResponseBody() {
--- a/modules/gg_store/gg_store.h
+++ b/modules/gg_store/gg_store.h
@@ -14,6 +14,7 @@
 #include "gg_store/bounded_parser.h"
 #include "gg_store/message_parsing.h"
 #include "gg_store/response_parser.h"
+#include "gg_store/response_reading.h"
 #include "gg_store/store_client.h"
 #include "gg_store/store_codec.h"
 #include "gg_store/store_session.h"
--- a/modules/gg_store/store_client.cc
+++ b/modules/gg_store/store_client.cc
@@ -6,7 +6,7 @@
 #include <limits>
 
 #include "gg_core/errors.h"
-#include "gg_store/response_parser.h"
+#include "gg_store/response_reading.h"
 #include "gg_store/store_codec.h"
 
 namespace greengage {
@@ -109,22 +109,24 @@
                                    EncodeWatch(prefix, start_revision));
   co_await http::async_write(connection->stream, request, Await(&error));
   if (error) co_return end_watch(error);
-  CheckedResponseParser<http::buffer_body> parser;
-  parser.body_limit(kUnlimitedBodyBytes);
   connection->stream.expires_after(idle_timeout);
-  error = co_await ReadMessageHeader(&connection->stream, &connection->buffer,
-                                     &parser);
+  std::optional<CheckedResponseParser<http::buffer_body>> parser;
+  error = co_await ReadFinalResponseHeader(
+      &connection->stream, &connection->buffer, &parser,
+      [](CheckedResponseParser<http::buffer_body>* next) {
+        next->body_limit(kUnlimitedBodyBytes);
+      });
   std::string pending;
   std::array<char, kWatchChunkBytes> chunk{};
-  while (!error && !parser.is_done()) {
-    parser.get().body().data = chunk.data();
-    parser.get().body().size = chunk.size();
+  while (!error && !parser->is_done()) {
+    parser->get().body().data = chunk.data();
+    parser->get().body().size = chunk.size();
     connection->stream.expires_after(idle_timeout);
     error = co_await ReadMessageSome(&connection->stream, &connection->buffer,
-                                     &parser);
+                                     &*parser);
     if (error == http::error::need_buffer) error = {};
     const size_t searched_bytes = pending.size();
-    pending.append(chunk.data(), chunk.size() - parser.get().body().size);
+    pending.append(chunk.data(), chunk.size() - parser->get().body().size);
     if (pending.size() > kMaxResponseBytes) error = http::error::body_limit;
     for (const std::string& line : TakeLines(&pending, searched_bytes)) {
       const auto changes = DecodeWatchLine(line, connection->address);
@@ -157,11 +159,13 @@
   ErrorCode error;
   const auto request = MakeRequest(path, connection->address, std::move(body));
   co_await http::async_write(connection->stream, request, Await(&error));
-  CheckedResponseParser<http::string_body> parser;
-  parser.body_limit(kMaxResponseBytes);
+  std::optional<CheckedResponseParser<http::string_body>> parser;
   if (!error) {
-    error =
-        co_await ReadMessage(&connection->stream, &connection->buffer, &parser);
+    error = co_await ReadFinalResponse(
+        &connection->stream, &connection->buffer, &parser,
+        [](CheckedResponseParser<http::string_body>* next) {
+          next->body_limit(kMaxResponseBytes);
+        });
   }
   if (error) {
     // The idle connections lead to the same address and have probably failed
@@ -172,18 +176,16 @@
                         connection->address, error.message());
   }
   const std::string address = connection->address;
-  // After an interim response the final one is still to come.
-  const bool is_reusable = parser.keep_alive() &&
-                           !IsInterim(parser.get().result_int()) &&
-                           connection->buffer.size() == 0;
+  const bool is_reusable =
+      parser->keep_alive() && connection->buffer.size() == 0;
   if (is_reusable && idle_connections_.size() < kMaxIdleConnections) {
     idle_connections_.push_back(std::move(connection));
   }
-  if (parser.get().result() != http::status::ok) {
+  if (parser->get().result() != http::status::ok) {
     co_return StepError(absl::StatusCode::kUnknown, Step::kStoreCall, address,
-                        parser.get().body());
+                        parser->get().body());
   }
-  co_return std::move(parser.get().body());
+  co_return std::move(parser->get().body());
 }
 
 asio::awaitable<absl::StatusOr<std::unique_ptr<StoreClient::Connection>>>
--- a/tests/entry/http_get_test.cc
+++ b/tests/entry/http_get_test.cc
@@ -72,6 +72,15 @@
   CheckAreNoResponses(ResponsesWithInvalidChunks());
 }
 
+TEST(HttpGet, InterimResponse_IsFollowedByTheResponse) {
+  const std::string response =
+      ResponseWithStatusLine("HTTP/1.1 200 OK", "hello");
+  const auto body = Get(InterimHead("103") + InterimHead("100") + response);
+  CHECK_TRUE(body.ok());
+  STRCMP_EQUAL("hello", body->c_str());
+  CHECK_FALSE(Get(InterimHead("101") + response).ok());
+}
+
 // As of targets: bytes without end must not fill the memory.
 TEST(HttpGet, ResponseWithoutEnd_EndsTheCallEarly) {
   for (const EndlessMessage& message : EndlessResponses()) {
