Take changes of a watch from a response with status 200 only

The watch of greengaged read the lines of its response whatever the status said, so a failure whose body looked like changes was applied. Found while checking the places that read responses.

Failed before: StoreCall.FailureWithTheBodyOfAWatch_IsNoChange.

--- a/modules/gg_store/store_client.cc
+++ b/modules/gg_store/store_client.cc
@@ -116,6 +116,9 @@
       [](CheckedResponseParser<http::buffer_body>* next) {
         next->body_limit(kUnlimitedBodyBytes);
       });
+  if (!error && parser->get().result() != http::status::ok) {
+    error = http::error::bad_status;
+  }
   std::string pending;
   std::array<char, kWatchChunkBytes> chunk{};
   while (!error && !parser->is_done()) {
--- a/tests/entry/store_response_test.cc
+++ b/tests/entry/store_response_test.cc
@@ -255,6 +255,15 @@
   CHECK_FALSE(Put(InterimHead("103")).ok());
 }
 
+// Changes come with status 200 only.
+TEST(StoreCall, FailureWithTheBodyOfAWatch_IsNoChange) {
+  for (const char* status_line :
+       {"HTTP/1.1 500 Error", "HTTP/1.1 503 Busy", "HTTP/1.1 404 None"}) {
+    CHECK_FALSE(
+        WatchSeesChange(ResponseWithStatusLine(status_line, kWatchLine)));
+  }
+}
+
 // The final response must not be taken for the response to the next call.
 TEST(StoreResponse, InterimResponse_LeavesTheConnectionInOrder) {
   const std::string final_response =
