Don't reuse a store's connection on which bytes lie unread

The clients of the stores reused a kept connection without looking at it. An extra response that had arrived since the last call was taken for that to the next one, and a connection that the service had closed failed a call. Found while checking kept connections.

Failed before: StoreResponse.BytesAfterAResponse_AreNotTheNextResponse. An extra response that arrives after the call was sent can't be told, as responses of the stores name no request.

--- a/modules/gg_store/store_client.cc
+++ b/modules/gg_store/store_client.cc
@@ -150,10 +150,13 @@
 asio::awaitable<absl::StatusOr<std::string>> StoreClient::Call(
     std::string path, std::string body) {
   std::unique_ptr<Connection> connection;
-  if (!idle_connections_.empty()) {
+  while (connection == nullptr && !idle_connections_.empty()) {
     connection = std::move(idle_connections_.back());
     idle_connections_.pop_back();
-  } else {
+    // The service has closed the connection, or sent what no call asked for.
+    if (!IsOpenAndIdle(connection->stream.socket())) connection = nullptr;
+  }
+  if (connection == nullptr) {
     auto connected = co_await Connect();
     if (!connected.ok()) co_return connected.status();
     connection = *std::move(connected);
--- a/tests/entry/store_response_test.cc
+++ b/tests/entry/store_response_test.cc
@@ -209,6 +209,42 @@
   }
 }
 
+// An extra response on a kept connection was taken for that to the next call.
+TEST(StoreResponse, BytesAfterAResponse_AreNotTheNextResponse) {
+  const std::string page = ResponseWithStatusLine("HTTP/1.1 200 OK", kPage);
+  const std::string stale =
+      ResponseWithStatusLine("HTTP/1.1 200 OK", R"({"items":[],"asOf":3})");
+  platform::PlatformStore platform_store(&io, {.address = kStoreAddress});
+  uint64_t revision = 0;
+  const absl::Status page_status =
+      Run({page, stale}, false, [&]() -> asio::awaitable<absl::Status> {
+        auto first = co_await platform_store.ReadPage("op/", "");
+        if (!first.ok()) co_return first.status();
+        co_await SleepFor(std::chrono::milliseconds(30));
+        auto second = co_await platform_store.ReadPage("op/", "");
+        if (second.ok()) revision = second->store_revision;
+        co_return second.status();
+      });
+  CHECK_TRUE_TEXT(page_status.ok(), MessageOf(page_status).c_str());
+  LONGS_EQUAL(7, revision);
+
+  const std::string range = ResponseWithStatusLine("HTTP/1.1 200 OK", kRange);
+  const std::string stale_range = ResponseWithStatusLine(
+      "HTTP/1.1 200 OK", R"({"header":{"revision":"3"},"kvs":[]})");
+  StoreClient store(&io, {.addresses = {kStoreAddress}});
+  const absl::Status range_status =
+      Run({range, stale_range}, false, [&]() -> asio::awaitable<absl::Status> {
+        auto first = co_await store.Get("key");
+        if (!first.ok()) co_return first.status();
+        co_await SleepFor(std::chrono::milliseconds(30));
+        auto second = co_await store.Get("key");
+        if (second.ok()) revision = second->store_revision;
+        co_return second.status();
+      });
+  CHECK_TRUE_TEXT(range_status.ok(), MessageOf(range_status).c_str());
+  LONGS_EQUAL(7, revision);
+}
+
 // As review/2: the stores' clients parsed responses without a guard as well.
 TEST(StoreResponse, OddEndOfAResponse_FailsTheCallOfThePlatformsStoreOnly) {
   for (const std::vector<std::string>& parts : OddChunkedResponses()) {
