Believe the statement "not run" with a status that can carry it only

A 2xx or 500 with the statement that the target did not run the request was believed: an order that may have run was refused as not run, or sent to a second target. A success and a target's own 500 or 504 count as run by the users' pages, so such a response contradicts itself. Found while checking what responses are believed.

Failed before: ResponseCheck.RefusalWithAnotherStatus_IsNotBelieved.

--- a/modules/gg_entry/response_check.cc
+++ b/modules/gg_entry/response_check.cc
@@ -17,6 +17,13 @@
          status == http::status::request_timeout;
 }
 
+/** Returns true for a status with which a target can state that it did not run
+    the request. */
+bool MayStateNotRun(unsigned status) {
+  return status / 100 == 4 ||
+         http::int_to_status(status) == http::status::service_unavailable;
+}
+
 bool IsForThisRequest(const TargetFields& fields,
                       const ResponseContext& context) {
   const std::string_view request_id = fields.request_id;
@@ -34,6 +41,11 @@
   if (!IsForThisRequest(fields, context)) {
     return {ResponseKind::kStray, "the answer is to another request"};
   }
+  if (fields.was_not_run && !MayStateNotRun(status)) {
+    return {ResponseKind::kUnusable,
+            absl::StrCat("status ", status,
+                         " with the statement that it was not run")};
+  }
   if (fields.was_not_run) {
     return {ResponseKind::kRefusal, absl::StrCat("not run: status ", status)};
   }
--- a/tests/entry/response_check_test.cc
+++ b/tests/entry/response_check_test.cc
@@ -42,6 +42,18 @@
   CHECK_TRUE(Check(200) == ResponseKind::kStray);
 }
 
+// A success or a failure of the target's own counts as run, so the response
+// contradicts itself.
+TEST(ResponseCheck, RefusalWithAnotherStatus_IsNotBelieved) {
+  fields.was_not_run = true;
+  for (const unsigned status : {200U, 204U, 302U, 500U, 502U, 504U}) {
+    CHECK_TRUE(Check(status) == ResponseKind::kUnusable);
+  }
+  for (const unsigned status : {400U, 408U, 421U, 429U, 503U}) {
+    CHECK_TRUE(Check(status) == ResponseKind::kRefusal);
+  }
+}
+
 TEST(ResponseCheck, StatusThatPromisesNotRun_NeedsTheTargetsStatement) {
   for (const unsigned status : {408U, 429U, 503U}) {
     context.is_idempotent = false;
