Take a response that names two requests for neither

Of several identifiers in a response the first counted, so a response to another request could pass for the one that was awaited. Found while checking responses on kept connections.

--- a/tests/entry/platform_codec_test.cc
+++ b/tests/entry/platform_codec_test.cc
@@ -342,6 +342,16 @@
       Answer(http::status::too_many_requests, {{"Retry-After", "2"}}).pause);
 }
 
+// Otherwise the response could pass for one to either request.
+TEST(MessageCodec, ResponseToTwoRequests_IsToNeither) {
+  http::response<http::string_body> answer(http::status::ok, 11);
+  answer.insert("Request-Id", "id-1");
+  answer.insert("Request-Id", "id-2");
+  const TargetFields fields = codec.decode_target_fields(answer.base());
+  CHECK_TRUE(fields.request_id != "id-1" && fields.request_id != "id-2");
+  CHECK_FALSE(fields.request_id.empty());
+}
+
 TEST(MessageCodec, RepeatedPause_IsTheLongest) {
   http::response<http::string_body> answer(http::status::service_unavailable,
                                            11);
