Relay a response without a body to an upload as such

greengaged relayed a 204 or 304 to an upload whose body it streamed with "Transfer-Encoding: chunked" and a last chunk. On a kept connection these bytes count as the start of the next response. A Content-Length of a 204 was passed on. Found while checking what follows a response.

Cause: only a response that was buffered for a repeat was treated by its status. A response without a body now counts as buffered when its header has been read.

Failed before: TargetExchange.BodilessResponseToAnUpload_IsRelayedWithoutABody. The upload tests read the header of a parser that did not exist if the whole upload had been sent; they do now what Forwarder does.

--- a/modules/gg_http/target_exchange.cc
+++ b/modules/gg_http/target_exchange.cc
@@ -107,6 +107,7 @@
                         "the response is to an earlier request");
   }
   has_response_ = true;
+  is_fully_buffered_ = !ResponseHasBody();
   co_return absl::OkStatus();
 }
 
@@ -295,8 +296,13 @@
   http::response<http::empty_body> response(parser_->get().result(), 11);
   response.reason(parser_->get().reason());
   CopyHeader(parser_->get().base(), &response);
+  // A length is that of the response to a GET, which a 204 doesn't have.
   const auto length = parser_->get()[http::field::content_length];
-  if (!length.empty()) response.set(http::field::content_length, length);
+  const bool may_have_length =
+      parser_->get().result() != http::status::no_content;
+  if (may_have_length && !length.empty()) {
+    response.set(http::field::content_length, length);
+  }
   const bool keep_alive = options_.request->get().keep_alive() &&
                           options_.request->is_done() && !should_close;
   response.keep_alive(keep_alive);
--- a/tests/entry/target_exchange_test.cc
+++ b/tests/entry/target_exchange_test.cc
@@ -25,6 +25,8 @@
   int response_status = 0;
   std::string body;
   std::string response_outcome;
+  std::string relayed;  // bytes that the caller of an upload has received
+  size_t upload_bytes = kUploadBytes;
   bool is_reused_connection = false;
   bool is_target_reusable = false;
 
@@ -73,8 +75,8 @@
 
   asio::awaitable<void> SendUpload(asio::ip::tcp::socket * caller_side) {
     const std::string text = "PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
-                             std::to_string(kUploadBytes) + "\r\n\r\n" +
-                             std::string(kUploadBytes, 'u');
+                             std::to_string(upload_bytes) + "\r\n\r\n" +
+                             std::string(upload_bytes, 'u');
     ErrorCode error;
     co_await asio::async_write(*caller_side, asio::buffer(text), Await(&error));
   }
@@ -93,7 +95,7 @@
     TargetConnection target(io.get_executor());
     co_await target.stream.async_connect(*ParseEndpoint(kTargetAddress),
                                          Await(&error));
-    const std::string upload(kUploadBytes, 'u');
+    const std::string upload(upload_bytes, 'u');
     TargetExchange exchange(
         {.caller = &caller,
          .request = &request,
@@ -101,14 +103,21 @@
          .buffered_request_body = is_body_buffered ? &upload : nullptr,
          .cancels_on_disconnect = false});
     status = co_await exchange.SendRequest();
-    if (!status.ok()) status = co_await exchange.ReadResponseHeader();
+    const absl::Status read_status = co_await exchange.ReadResponseHeader();
+    if (status.ok() || read_status.ok()) status = read_status;
     if (status.ok() && is_body_buffered) {
       status = co_await exchange.BufferResponseBody();
     }
     if (!status.ok()) co_return;
     bool is_complete = true;
-    co_await exchange.RelayResponse(true, &is_complete);
+    if (exchange.is_fully_buffered()) {
+      co_await exchange.SendBufferedResponse(false);
+    } else {
+      co_await exchange.RelayResponse(false, &is_complete);
+    }
     if (!is_complete) status = absl::UnknownError("the response was cut");
+    relayed.resize(caller_side.available(error));
+    caller_side.read_some(asio::buffer(relayed), error);
   }
 
   /** Returns whether the response of a target that responds early to an upload
@@ -208,6 +217,25 @@
   }
 }
 
+// What follows such a response would be taken for a part of the next one.
+TEST(TargetExchange, BodilessResponseToAnUpload_IsRelayedWithoutABody) {
+  upload_bytes = 5;
+  std::vector<std::string> responses = BodilessResponsesThatAnnounceABody();
+  responses.push_back("HTTP/1.1 204 No Content\r\n\r\n");
+  responses.push_back("HTTP/1.1 304 Not Modified\r\n\r\n");
+  for (const std::string& response : responses) {
+    io.restart();
+    asio::co_spawn(io, ServeTarget({response}), asio::detached);
+    asio::co_spawn(io, RunUploadExchange(false), asio::detached);
+    io.run_for(std::chrono::seconds(5));
+    CHECK_TRUE_TEXT(status.ok(), response.c_str());
+    CHECK_TRUE_TEXT(relayed.ends_with("\r\n\r\n"), relayed.c_str());
+    LONGS_EQUAL(relayed.size() - 4, relayed.find("\r\n\r\n"));
+    CHECK_FALSE(Contains(relayed, "Transfer-Encoding"));
+    CHECK_FALSE(Contains(relayed, "Content-Length"));
+  }
+}
+
 // A body that arrives after all would be taken for the next response.
 TEST(TargetExchange, BodilessResponseThatAnnouncesABody_EndsTheConnection) {
   for (const std::string& response : BodilessResponsesThatAnnounceABody()) {
