Take no field that Connection names for a target's statement to callers

A success whose Connection field named its signature counted as signed, while the signature, which then concerns one connection only, was not passed on: callers got a success without it. The same held for the identifier. Of several Connection fields only the first was heeded. Found while checking what is passed on.

The signature and the identifier count only if callers get them.

--- a/modules/gg_http/header_policy.cc
+++ b/modules/gg_http/header_policy.cc
@@ -24,15 +24,18 @@
          kHopByHopFields.end();
 }
 
+}  // namespace
+
 bool IsNamedByConnection(const http::fields& fields, beast::string_view name) {
-  const http::token_list named(fields[http::field::connection]);
-  return std::any_of(named.begin(), named.end(), [&](const auto& token) {
-    return beast::iequals(token, name);
+  const auto [first, last] = fields.equal_range(http::field::connection);
+  return std::any_of(first, last, [&](const auto& connection) {
+    const http::token_list named(connection.value());
+    return std::any_of(named.begin(), named.end(), [&](const auto& token) {
+      return beast::iequals(token, name);
+    });
   });
 }
 
-}  // namespace
-
 void CopyEndToEndFields(const http::fields& from, http::fields* to) {
   for (const auto& field : from) {
     const bool is_framing = field.name() == http::field::content_length ||
--- a/tests/entry/platform_codec_test.cc
+++ b/tests/entry/platform_codec_test.cc
@@ -342,6 +342,18 @@
       Answer(http::status::too_many_requests, {{"Retry-After", "2"}}).pause);
 }
 
+// What concerns one connection is not passed on, and callers would get a
+// success without signature.
+TEST(MessageCodec, SignatureNamedByConnection_IsNone) {
+  CHECK_TRUE(Answer(http::status::ok, {{"Upstream-Stamp", "stamp"}}).is_signed);
+  CHECK_FALSE(Answer(http::status::ok, {{"Upstream-Stamp", "stamp"},
+                                        {"Connection", "upstream-stamp"}})
+                  .is_signed);
+  CHECK_TRUE(Answer(http::status::ok, {{"Request-Id", "id-1"},
+                                       {"Connection", "close, request-id"}})
+                 .request_id.empty());
+}
+
 // Otherwise the response could pass for one to either request.
 TEST(MessageCodec, ResponseToTwoRequests_IsToNeither) {
   http::response<http::string_body> answer(http::status::ok, 11);
