--- a/tests/entry/http_get_test.cc
+++ b/tests/entry/http_get_test.cc
@@ -5,7 +5,7 @@
 #include <boost/asio/write.hpp>
 #include <thread>
 
-#include "entry/odd_responses.h"
+#include "entry/odd_peers.h"
 #include "gg_http/http_types.h"
 #include "unit/test_support.h"
 
--- a/tests/entry/http_session_test.cc
+++ b/tests/entry/http_session_test.cc
@@ -1,7 +1,7 @@
 #include <thread>
 #include <vector>
 
-#include "entry/odd_responses.h"
+#include "entry/odd_peers.h"
 #include "gg_entry/http_listener.h"
 #include "unit/test_support.h"
 
--- a/tests/entry/store_response_test.cc
+++ b/tests/entry/store_response_test.cc
@@ -3,7 +3,7 @@
 #include <boost/asio/write.hpp>
 
 #include "absl/strings/str_cat.h"
-#include "entry/odd_responses.h"
+#include "entry/odd_peers.h"
 #include "gg_store/store_client.h"
 #include "platform/platform_store.h"
 #include "unit/test_support.h"
--- a/tests/entry/target_attempt_test.cc
+++ b/tests/entry/target_attempt_test.cc
@@ -1,7 +1,7 @@
 #include "gg_entry/target_attempt.h"
 
 #include "absl/strings/str_cat.h"
-#include "entry/odd_responses.h"
+#include "entry/odd_peers.h"
 #include "gg_http/http_types.h"
 #include "unit/test_support.h"
 
--- a/tests/entry/target_exchange_test.cc
+++ b/tests/entry/target_exchange_test.cc
@@ -4,7 +4,7 @@
 
 #include <vector>
 
-#include "entry/odd_responses.h"
+#include "entry/odd_peers.h"
 #include "unit/test_support.h"
 
 namespace greengage {
--- a/tests/entry/traffic_server_test.cc
+++ b/tests/entry/traffic_server_test.cc
@@ -5,7 +5,7 @@
 #include <thread>
 #include <vector>
 
-#include "entry/odd_responses.h"
+#include "entry/odd_peers.h"
 #include "unit/test_support.h"
 
 namespace greengage {
--- a/tests/standins/platform_standin.cc
+++ b/tests/standins/platform_standin.cc
@@ -7,7 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_replace.h"
 #include "absl/strings/str_split.h"
-#include "entry/odd_responses.h"
+#include "entry/odd_peers.h"
 
 namespace greengage::standins {
 namespace {
