End a response without length by the connection for callers of HTTP/1.0

greengaged relayed a response without length in chunks to every caller of an upload. HTTP/1.0 has none, so such a caller got the lines between the chunks as a part of the body. Found while checking what callers get; nobody reported it.

For these callers the end of the connection ends the response. If the target fails midway, the caller's connection is reset, so that the part does not look complete.

Failed before: TargetExchange.UnframedResponseToACallerOfHttp10_EndsWithTheConnection.

--- a/modules/gg_http/target_exchange.cc
+++ b/modules/gg_http/target_exchange.cc
@@ -11,6 +11,9 @@
 namespace greengage {
 namespace {
 
+/** Of a request, as Beast counts: 11 is HTTP/1.1. */
+constexpr unsigned kFirstVersionWithChunks = 11;
+
 template <bool kIsRequest, typename Body>
 void CopyHeader(const http::header<kIsRequest, http::fields>& from,
                 http::message<kIsRequest, Body>* to) {
@@ -151,13 +154,16 @@
   response.reason(parser_->get().reason());
   CopyHeader(parser_->get().base(), &response);
   const auto length = parser_->content_length();
+  const bool ends_with_connection =
+      !length && options_.request->get().version() < kFirstVersionWithChunks;
   if (length) {
     response.content_length(*length);
-  } else {
+  } else if (!ends_with_connection) {
     response.chunked(true);
   }
   const bool keep_alive = options_.request->get().keep_alive() &&
-                          options_.request->is_done() && !should_close;
+                          options_.request->is_done() && !should_close &&
+                          !ends_with_connection;
   response.keep_alive(keep_alive);
   http::response_serializer<http::buffer_body> serializer(response);
   ErrorCode error;
@@ -176,7 +182,7 @@
     if (parser_->is_done()) break;
     chunk.clear();
     error = co_await ReadBodyChunk(&chunk);
-    if (error) co_return HandlerResult{false};
+    if (error) co_return CutResponse(ends_with_connection);
   }
   response.body() = {nullptr, 0, false};
   options_.caller->stream.expires_after(kCallerIoTimeout);
@@ -186,6 +192,16 @@
   co_return HandlerResult{keep_alive && !error};
 }
 
+HandlerResult TargetExchange::CutResponse(bool ends_with_connection) {
+  if (ends_with_connection) {
+    ErrorCode ignored;
+    asio::ip::tcp::socket& socket = options_.caller->stream.socket();
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+  }
+  return HandlerResult{false};
+}
+
 bool TargetExchange::has_caller_disconnected() const {
   return disconnect_monitor_ != nullptr &&
          disconnect_monitor_->is_disconnected();
--- a/modules/gg_http/target_exchange.h
+++ b/modules/gg_http/target_exchange.h
@@ -79,7 +79,8 @@
 
   /** Streams the response to the caller, starting with what is buffered. If the
       target fails midway, the caller's connection is closed, so that the caller
-      can tell that the response is incomplete.
+      can tell that the response is incomplete. For a caller of HTTP/1.0 a
+      response without length ends with the connection, which is reset then.
       @param should_close  close the caller's connection afterwards.
       @param is_complete  receives whether the whole response was sent. */
   asio::awaitable<HandlerResult> RelayResponse(bool should_close,
@@ -123,6 +124,9 @@
   asio::awaitable<void> WaitForPacing(const PacingFunction& pacing,
                                       int64_t bytes);
 
+  /** Ends a response to the caller that can't be completed. */
+  HandlerResult CutResponse(bool ends_with_connection);
+
   /** Sends a response that has no body. */
   asio::awaitable<HandlerResult> SendResponseHeader(bool should_close);
 
--- a/tests/entry/target_exchange_test.cc
+++ b/tests/entry/target_exchange_test.cc
@@ -25,8 +25,10 @@
   int response_status = 0;
   std::string body;
   std::string response_outcome;
-  std::string relayed;  // bytes that the caller of an upload has received
+  std::string relayed;    // bytes that the caller of an upload has received
+  ErrorCode relayed_end;  // end of the caller's connection; OK if it is kept
   size_t upload_bytes = kUploadBytes;
+  std::string upload_version = "HTTP/1.1";
   bool is_reused_connection = false;
   bool is_target_reusable = false;
 
@@ -74,9 +76,10 @@
   }
 
   asio::awaitable<void> SendUpload(asio::ip::tcp::socket * caller_side) {
-    const std::string text = "PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
-                             std::to_string(upload_bytes) + "\r\n\r\n" +
-                             std::string(upload_bytes, 'u');
+    const std::string text =
+        "PUT / " + upload_version +
+        "\r\nHost: a\r\nContent-Length: " + std::to_string(upload_bytes) +
+        "\r\n\r\n" + std::string(upload_bytes, 'u');
     ErrorCode error;
     co_await asio::async_write(*caller_side, asio::buffer(text), Await(&error));
   }
@@ -110,14 +113,22 @@
     }
     if (!status.ok()) co_return;
     bool is_complete = true;
+    HandlerResult result;
     if (exchange.is_fully_buffered()) {
-      co_await exchange.SendBufferedResponse(false);
+      result = co_await exchange.SendBufferedResponse(false);
     } else {
-      co_await exchange.RelayResponse(false, &is_complete);
+      result = co_await exchange.RelayResponse(false, &is_complete);
     }
     if (!is_complete) status = absl::UnknownError("the response was cut");
+    if (!result.keep_alive) {
+      caller.stream.socket().shutdown(asio::socket_base::shutdown_send, error);
+    }
     relayed.resize(caller_side.available(error));
-    caller_side.read_some(asio::buffer(relayed), error);
+    caller_side.read_some(asio::buffer(relayed), relayed_end);
+    char byte = 0;
+    if (!result.keep_alive && !relayed_end) {
+      caller_side.read_some(asio::buffer(&byte, 1), relayed_end);
+    }
   }
 
   /** Returns whether the response of a target that responds early to an upload
@@ -236,6 +247,20 @@
   }
 }
 
+// HTTP/1.0 has no chunks; the end of the connection tells whether the response
+// is complete.
+TEST(TargetExchange, UnframedResponseToACallerOfHttp10_EndsWithTheConnection) {
+  upload_bytes = 5;
+  upload_version = "HTTP/1.0";
+  CHECK_TRUE(IsUploadAnswered(ConnectionEnd::kClose, Duration::zero(), false));
+  CHECK_FALSE(Contains(relayed, "Transfer-Encoding"));
+  CHECK_TRUE_TEXT(relayed.ends_with("\r\n\r\nhello"), relayed.c_str());
+  CHECK_TRUE(relayed_end == asio::error::eof);
+  CHECK_FALSE(IsUploadAnswered(ConnectionEnd::kReset,
+                               std::chrono::milliseconds(20), false));
+  CHECK_TRUE(relayed_end == asio::error::connection_reset);
+}
+
 // A body that arrives after all would be taken for the next response.
 TEST(TargetExchange, BodilessResponseThatAnnouncesABody_EndsTheConnection) {
   for (const std::string& response : BodilessResponsesThatAnnounceABody()) {
