Scenario with broken responses for greengaged

Every fourth response of the targets is one of the messages that are none. A caller counts a status outside 100 to 599 as a wrong answer.

--- a/tests/standins/caller_standin.cc
+++ b/tests/standins/caller_standin.cc
@@ -227,6 +227,8 @@
                     const std::string& id, TimePoint start) {
     if (!response.is_complete) {
       ++stats->broken;
+    } else if (response.status < 100 || response.status > 599) {
+      ++stats->wrong;
     } else if (response.status == 200) {
       const bool is_own_response = response.id == id;
       ++(is_own_response ? stats->whole : stats->wrong);
--- a/tests/standins/target_standin.cc
+++ b/tests/standins/target_standin.cc
@@ -10,6 +10,7 @@
 //   lose=N       the next N requests run, but their responses are lost
 //   cut=N        the next N responses end in the middle of the body
 //   shed=1|0     every request is refused and reported as not run
+//   broken=N     N responses, every fourth, are none (entry/odd_responses.h)
 //   short=N      the next N responses have one byte less than Content-Length
 //   lose_then_shed=1  the next request runs and its response is lost; all later
 //                requests are refused as with shed
@@ -22,6 +23,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 
+#include "entry/odd_responses.h"
 #include "gg_core/hash.h"
 #include "gg_http/lookup_handler.h"
 #include "standins/http_server.h"
@@ -31,6 +33,9 @@
 
 using nlohmann::json;
 
+/** One of so many responses is broken, so that targets are not ejected. */
+constexpr int kBrokenResponseInterval = 4;
+
 struct Target {
   std::string address;
   int slots = 0;
@@ -140,6 +145,10 @@
     if (ConsumeFault(&responses_to_truncate_)) {
       co_return co_await SendTruncated(connection, text, 0);
     }
+    if (++response_count_ % kBrokenResponseInterval == 0 &&
+        ConsumeFault(&responses_to_break_)) {
+      co_return co_await SendBroken(connection);
+    }
     if (ConsumeFault(&responses_to_shorten_)) {
       co_return co_await SendTruncated(connection, text, 1);
     }
@@ -156,6 +165,16 @@
     co_return co_await Send(connection, *request, std::move(final_response));
   }
 
+  /** Sends the next of the messages that are no response. */
+  asio::awaitable<bool> SendBroken(ClientConnection* connection) {
+    const std::string bytes =
+        broken_responses_[next_broken_response_++ % broken_responses_.size()];
+    ErrorCode error;
+    co_await asio::async_write(connection->stream, asio::buffer(bytes),
+                               Await(&error));
+    co_return false;
+  }
+
   /** Sends a response that is shorter than its Content-Length. With
       `extra_bytes` 0 half of the body is missing; otherwise the whole body is
       sent and Content-Length is larger by `extra_bytes`. */
@@ -220,6 +239,7 @@
         {"lose", &responses_to_lose_},
         {"cut", &responses_to_truncate_},
         {"short", &responses_to_shorten_},
+        {"broken", &responses_to_break_},
         {"lose_then_shed", &lose_then_shed_count_}};
     const auto fault = faults.find(name);
     if (fault != faults.end()) *fault->second = value;
@@ -276,6 +296,10 @@
   int lose_then_shed_count_ = 0;
   int responses_to_truncate_ = 0;
   int responses_to_shorten_ = 0;
+  int responses_to_break_ = 0;
+  int64_t response_count_ = 0;
+  const std::vector<std::string> broken_responses_ = BrokenResponses();
+  size_t next_broken_response_ = 0;
   bool is_shedding_ = false;
   bool sends_interim_responses_ = false;
   bool repeats_responses_ = false;
