Test the bound of 1,000 fields; measured size of a field

The bound had no test of its own; without the check the new one fails. A field of a header takes 75 bytes more than its text (1,000 fields: 80,000 bytes, text 4,890), not 64, which had not been measured.

--- a/modules/gg_store/bounded_parser.h
+++ b/modules/gg_store/bounded_parser.h
@@ -57,7 +57,7 @@
   }
 
   static constexpr uint32_t kDefaultHeaderLimit = 64 * 1024;
-  /** Each field takes about 64 bytes more than its text. */
+  /** Each field takes about 75 bytes more than its text. */
   static constexpr int kMaxFields = 1000;
 
   uint32_t header_limit_ = 0;
--- a/tests/entry/target_attempt_test.cc
+++ b/tests/entry/target_attempt_test.cc
@@ -186,6 +186,17 @@
   }
 }
 
+TEST(TargetAttempt, HeaderOfTooManyFields_FailsTheAttempt) {
+  constexpr int kMaxFields = 1000;
+  const auto response = [](int field_count) {
+    std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+    for (int i = 1; i < field_count; ++i) absl::StrAppend(&head, "X: a\r\n");
+    return head + "\r\n";
+  };
+  CHECK_TRUE(IsResponse({response(kMaxFields)}));
+  CHECK_FALSE(IsResponse({response(kMaxFields + 1)}));
+}
+
 // Attempts that each stay below the limit of one response must not exhaust the
 // memory together.
 TEST(TargetAttempt, BodyWithoutEnd_StaysWithinTheBudgetOfAllAttempts) {
