--- a/review/common-2/harness.cc
+++ b/review/common-2/harness.cc
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -614,6 +615,7 @@
   pid_ = ::fork();
   if (pid_ < 0) CannotRun("can't fork");
   if (pid_ == 0) {
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(out, 1);
     ::dup2(out, 2);
