--- a/review/common-2/harness.cc
+++ b/review/common-2/harness.cc
@@ -421,6 +421,7 @@
 }
 
 void Store::HandleConnection(Connection* connection) {
+  bool has_lost_response = false;
   for (;;) {
     const auto request = connection->ReadMessage();
     if (!request) return;
@@ -429,13 +430,12 @@
     std::string target;
     words >> method >> target;
     {
-      // A call that comes while the store is silent gets no response.
+      // A call that comes while the store is silent gets no response, and its
+      // connection returns nothing further.
       const std::lock_guard lock(mutex_);
-      if (is_silent_) {
-        Record::Line("store: no response to " + method + " " + target);
-        continue;
-      }
+      has_lost_response = has_lost_response || is_silent_;
     }
+    if (has_lost_response) continue;
     const auto [status, body] = Handle(method, target, request->body);
     const std::string head =
         "HTTP/1.1 " + std::to_string(status) + " " + ReasonOf(status) +
